--- a/src/main/java/org/beechhoist/cli/Node.java
+++ b/src/main/java/org/beechhoist/cli/Node.java
@@ -34,8 +34,8 @@
 
     private final Settings settings;
     private final Loop loop = new Loop();
-    private final HttpClient client = new HttpClient(loop, CBOR);
-    private final HttpClient peerClient = new HttpClient(loop, "avro/binary");
+    private final HttpClient client;
+    private final HttpClient peerClient;
     /** Made when first needed: loading Avro would hold up the first answers after a restart. */
     private PeerCodec peerCodec;
     private final Metrics metrics = new Metrics();
@@ -47,6 +47,8 @@
 
     Node(Settings settings, Policy policy) throws IOException {
         this.settings = settings;
+        this.client = new HttpClient(loop, CBOR, settings.maxSockets() / 10);
+        this.peerClient = new HttpClient(loop, "avro/binary", 2 * settings.seeds().size());
         this.core = new Controller(settings, policy, metrics, System.nanoTime());
         // A tenth of the sockets is kept for calls to others.
         new HttpServer(loop, settings.publicAddress(), Codec.MAX_BODY, settings.maxSockets() * 8 / 10, this::request);
--- a/src/main/java/org/beechhoist/cli/Region.java
+++ b/src/main/java/org/beechhoist/cli/Region.java
@@ -65,7 +65,7 @@
     @Override
     public Integer call() throws IOException {
         loop = new Loop();
-        client = new HttpClient(loop, CBOR);
+        client = new HttpClient(loop, CBOR, 100);
         names = new ArrayList<>(nodes.keySet());
         HostType type = new HostType("c4", 4, 0, 16, 20, 1, 0.2, 0.05, 3, List.of("a", "b"));
         Cloud cloud = new Cloud(List.of(type), 5, 0, new SplittableRandom(1), this::changed);
--- a/src/main/java/org/beechhoist/cli/Warm.java
+++ b/src/main/java/org/beechhoist/cli/Warm.java
@@ -38,7 +38,7 @@
         Settings settings = Settings.load(config);
         PeerCodec peers = new PeerCodec();
         peers.decode(peers.encode(new PeerState("warm", false, Baton.NONE, 0, false)));
-        new HttpClient(new Loop(), "");
+        new HttpClient(new Loop(), "", 1);
         Controller core = new Controller(settings, Policy.DEFAULT, new Metrics(), 1);
         StateService state = new StateService(settings.stateLimits().txnOps(), settings.stateLimits().valueBytes());
         JsonNode types = Codec.decodeMap(Codec.encode(types()));
--- a/src/main/java/org/beechhoist/core/Controller.java
+++ b/src/main/java/org/beechhoist/core/Controller.java
@@ -26,6 +26,9 @@
     private static final long TICK_MS = 500;
     /** Shares of the state service's limits: the leader's, and what each other node may use. */
     private static final double LEADER_SHARE = 0.55;
+    private static final double LEADER_WRITES = 0.75;
+    /** Submissions come in bursts: what a node may write at once after a quiet while. */
+    private static final double LEAST_BURST = 6;
     private static final double SAFETY = 0.9;
     private static final Set<String> VIEWS = Set.of("/v1/plan", "/v1/hosts", "/v1/teams", "/v1/metrics");
     private static final long TELL_MS = 1000;
@@ -88,10 +91,13 @@
     }
 
     private void share(boolean leads) {
+        requests.setRate(share(leads, LEADER_SHARE) * settings.stateLimits().rps(), 1);
+        writes.setRate(share(leads, LEADER_WRITES) * settings.stateLimits().writeRps(), LEAST_BURST);
+    }
+
+    private double share(boolean leads, double leaders) {
         int others = Math.max(1, settings.nodes() - 1);
-        double share = SAFETY * (settings.nodes() == 1 ? 1 : leads ? LEADER_SHARE : (1 - LEADER_SHARE) / others);
-        requests.setRate(share * settings.stateLimits().rps());
-        writes.setRate(share * settings.stateLimits().writeRps());
+        return SAFETY * (settings.nodes() == 1 ? 1 : leads ? leaders : (1 - leaders) / others);
     }
 
     public void start(Tick now, long wallMs) {
--- a/src/main/java/org/beechhoist/core/Host.java
+++ b/src/main/java/org/beechhoist/core/Host.java
@@ -48,6 +48,8 @@
     boolean returning;
     Tick rentedAt;
     boolean up;
+    /** The cloud lists it as running, though it may not have reported to this leadership yet. */
+    boolean listedUp;
     Tick idleSince;
     Tick avoidUntil = Tick.ZERO;
     /** Images it should hold, least recently used first, with their sizes. */
--- a/src/main/java/org/beechhoist/core/Job.java
+++ b/src/main/java/org/beechhoist/core/Job.java
@@ -21,6 +21,8 @@
     boolean dirty;
     Tick dirtySince = Tick.ZERO;
     boolean inFlight;
+    /** Placements that no transaction holds yet: their launches wait for one. */
+    int uncommitted;
     /** Chosen from the time of day the job was accepted. */
     final Tick submitted;
     Tick notBefore = Tick.ZERO;
@@ -45,6 +47,14 @@
         return record.spec;
     }
 
+    /** Whether its tasks may have the other job's stopped. */
+    boolean outranks(Job other) {
+        int urgency = spec().urgency().compareTo(other.spec().urgency());
+        boolean borrowed = !other.guaranteed && !other.spec().team().equals(spec().team());
+        // A guarantee could take back borrowed machines from more urgent work too, but that work waits worst.
+        return urgency < 0 || (urgency == 0 && guaranteed && borrowed);
+    }
+
     /** Whether what the leader holds of it is what the state service holds. */
     boolean settled() {
         return !dirty && !inFlight;
--- a/src/main/java/org/beechhoist/core/Leader.java
+++ b/src/main/java/org/beechhoist/core/Leader.java
@@ -3,12 +3,14 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -51,16 +53,19 @@
 final class Leader {
     private static final Logger LOG = LoggerFactory.getLogger(Leader.class);
     private static final int MAX_ORDERS = 200;
+    private static final int GATHERED = 10;
     private static final long PLAN_EVERY_MS = 100;
+    /** A plan that looked for this many gaps may be followed by the next one a millisecond later. */
+    private static final long FITS_PER_MS = 400;
+    /** Finished tasks are gathered this long before their job is written for them alone. */
+    private static final long GATHER_MS = 2000;
+    /** The share of a second's writes that is kept for launches and ends of jobs. */
+    private static final double KEPT_WRITES = 0.4;
+    private static final long ROTATE_EVERY_MS = 2000;
     private static final long STARVED_MS = 1000;
     private static final long DIRECT_TIMEOUT_MS = 3000;
     /** Keeps a team that has used nothing yet from outweighing all others. */
     private static final double USAGE_FLOOR = 0.05;
-    /** What making room must gain a task, and how long a job waits for the effect before it asks for more. */
-    private static final long LEAST_GAIN_MS = 500;
-    private static final long PREEMPTION_PAUSE_MS = 600;
-    /** What begins this soon is not helped by stopping others. */
-    private static final long SOON_MS = 700;
     /** How long a job may wait that no objective speaks for, or none any more. */
     private static final long NO_OBJECTIVE_MS = 300_000;
     /** Clock drift of two machines and rounding, on top of a worker's lease. */
@@ -78,6 +83,7 @@
     private final Budget writes;
     private final Estimates estimates = new Estimates();
     private final Provisioner provisioner;
+    private final Preemption preemption;
     private final BiConsumer<JobRef, JsonNode> onEnded;
 
     private Phase phase = Phase.IDLE;
@@ -89,6 +95,9 @@
     final Map<HostId, Host> hosts = new TreeMap<>();
     private boolean commitInFlight;
     private boolean rotateWanted;
+    private Tick nextRotation = Tick.ZERO;
+    /** Jobs whose record the state service does not hold as it is here. */
+    private final Set<Job> dirty = new LinkedHashSet<>();
     private Tick nextCommit = Tick.ZERO;
     private boolean replan;
     private Tick nextPlan = Tick.ZERO;
@@ -116,6 +125,7 @@
         this.writes = writes;
         this.onEnded = onEnded;
         this.provisioner = new Provisioner(turn, settings, policy, types, this);
+        this.preemption = new Preemption(turn, policy, types, this);
     }
 
     // ---- leadership ----
@@ -125,6 +135,7 @@
         reign++;
         wonAt = turn.now();
         jobs.clear();
+        dirty.clear();
         hosts.clear();
         search = null;
         preferred = List.of();
@@ -140,6 +151,7 @@
         reign++;
         phase = Phase.IDLE;
         jobs.clear();
+        dirty.clear();
         hosts.clear();
         search = null;
         plan = null;
@@ -186,6 +198,7 @@
         }
         Map<JobRef, Job> old = new HashMap<>(jobs);
         jobs.clear();
+        dirty.clear();
         for (StoreClient.Item i : items) {
             try {
                 takeRecord(i, old);
@@ -331,6 +344,7 @@
         if (!j.dirty) {
             j.dirty = true;
             j.dirtySince = turn.now();
+            dirty.add(j);
         }
     }
 
@@ -339,34 +353,42 @@
         if (!active() || commitInFlight || turn.now().before(nextCommit)) {
             return;
         }
-        for (Host h : hosts.values()) {
-            rotateWanted |= h.limbo.compareTo(election.baton()) >= 0;
-        }
         Txn txn = election.guarded();
-        boolean rotating = rotateWanted;
+        // Each new baton makes every worker report once more, so that many lost orders share one.
+        boolean rotating = rotateWanted && !turn.now().before(nextRotation);
         if (rotating) {
             election.rotateIn(txn);
         }
-        int most = (int) Math.min(settings.stateLimits().txnOps(), Math.floor(writes.available(turn.now())));
+        double budget = writes.available(turn.now());
+        int most = (int) Math.min(settings.stateLimits().txnOps(), Math.floor(budget));
+        if (most < 1) {
+            return;
+        }
+        boolean spare = budget > KEPT_WRITES * writes.rate();
         int bytes = 0;
         List<Job> batch = new ArrayList<>();
         List<Placement> placed = new ArrayList<>();
         List<Job> ended = new ArrayList<>();
         Map<Job, Map<String, ArrayNode>> chunks = new HashMap<>();
-        List<Job> dirty = new ArrayList<>();
-        for (Job j : jobs.values()) {
-            if (j.dirty) {
-                dirty.add(j);
-            }
+        record Due(Job job, int rank) {
         }
-        dirty.sort(Comparator.comparing(j -> j.spec().urgency()));
+        List<Due> due = new ArrayList<>();
         for (Job j : dirty) {
+            int rank = commitRank(j);
+            // A finished task frees its machine without this: the worker's report proves it, to a later leader too.
+            if (rank < GATHERED || (spare && turn.now().since(j.dirtySince) >= GATHER_MS)) {
+                due.add(new Due(j, rank));
+            }
+        }
+        due.sort(Comparator.comparingInt(Due::rank).thenComparing(d -> d.job.dirtySince));
+        for (Due d : due) {
+            Job j = d.job;
             Map<String, ArrayNode> now = j.record.chunks();
-            boolean ends = j.record.live.isEmpty() && (j.record.cancelled() || j.record.complete());
+            boolean ends = ends(j);
             int ops = 1 + (ends ? 1 : 0) + changedChunks(j, now);
             int size = 2500 + 30 * 200 * changedChunks(j, now) + (j.record.chunked() ? 0 : 40 * j.record.live.size());
             if (txn.ops() + ops > most || (bytes > 0 && bytes + size > 40_000)) {
-                if (turn.now().since(j.dirtySince) > STARVED_MS) {
+                if (d.rank < GATHERED && turn.now().since(j.dirtySince) > STARVED_MS) {
                     break; // let the budget fill up for it instead of spending it on smaller ones for ever
                 }
                 continue;
@@ -384,12 +406,16 @@
                 }
             }
             j.dirty = false;
+            dirty.remove(j);
             j.inFlight = true;
         }
         if (txn.ops() == 0) {
             return;
         }
-        rotateWanted = false;
+        if (rotating) {
+            rotateWanted = false;
+            nextRotation = turn.now().plusMs(ROTATE_EVERY_MS);
+        }
         commitInFlight = true;
         requests.take(turn.now(), 1);
         writes.take(turn.now(), txn.ops());
@@ -410,6 +436,18 @@
         });
     }
 
+    private static boolean ends(Job j) {
+        return j.record.live.isEmpty() && (j.record.cancelled() || j.record.complete());
+    }
+
+    /** Jobs that have ended come first, for their users wait; then launches, the more urgent before; then ended tasks. */
+    private static int commitRank(Job j) {
+        if (ends(j)) {
+            return 0;
+        }
+        return j.uncommitted > 0 ? 1 + j.spec().urgency().ordinal() : GATHERED;
+    }
+
     private static int changedChunks(Job j, Map<String, ArrayNode> now) {
         int n = 0;
         for (Map.Entry<String, ArrayNode> c : now.entrySet()) {
@@ -460,11 +498,17 @@
                     onEnded.accept(j.ref(), j.record.endedNode(j.record.cancelled() ? "cancelled" : "done"));
                     LOG.info("{} ended: {}", j.ref(), j.record.cancelled() ? "cancelled" : "done");
                 }
+                Set<Host> reached = new LinkedHashSet<>();
                 for (Placement p : placed) {
                     p.committed = true;
+                    Job j = jobs.get(p.task.job());
+                    if (j != null && j.record.live.get(p.task.index()) == p) {
+                        j.uncommitted--;
+                    }
                     launch(p);
+                    reached.add(host(p.host));
                 }
-                flushOutboxes();
+                reached.forEach(this::direct);
             }
             case CONFLICT -> {
                 if (c.failed().contains(Election.KEY)) {
@@ -542,12 +586,6 @@
         host(p.host).outbox.add(Order.launch(p.task, p.attempt));
     }
 
-    private void flushOutboxes() {
-        for (Host h : hosts.values()) {
-            direct(h);
-        }
-    }
-
     private boolean reachable(Host h) {
         return h.up && h.lastHeard != null && !h.returning
                 && turn.now().since(h.lastHeard) < settings.workers().reportS() * 2500;
@@ -612,6 +650,7 @@
             // The launch may be executed minutes late, until the worker has seen a higher token.
             LOG.info("{}: launch without an answer, baton {}", h.id, baton.value());
             h.limbo = baton;
+            rotateWanted |= baton.equals(election.baton());
         }
         if (report != null && report.host().equals(h.id) && report.newerThan(h.shift, h.counter)) {
             boolean sameShift = report.shift() == h.shift;
@@ -830,7 +869,9 @@
 
     /** The task is certainly not there. */
     private void remove(Job j, Placement p) {
-        j.record.live.remove(p.task.index(), p);
+        if (j.record.live.remove(p.task.index(), p) && !p.committed) {
+            j.uncommitted--;
+        }
         if (j.spec().gang() && !j.record.done.contains(p.task.index())) {
             j.record.live.values().forEach(this::endWithGang);
         }
@@ -861,6 +902,7 @@
             if (j != null && j.record.live.get(p.task.index()) == p) {
                 LOG.info("{} try {} left {}: {}", p.task, p.attempt, h.id, why);
                 j.record.live.remove(p.task.index());
+                j.uncommitted -= p.committed ? 0 : 1;
                 if (j.spec().gang()) {
                     j.record.live.values().forEach(this::endWithGang);
                 }
@@ -933,8 +975,8 @@
     void settleTurn() {
         if (replan && active() && !turn.now().before(nextPlan)) {
             replan = false;
-            nextPlan = turn.now().plusMs(PLAN_EVERY_MS);
             plan();
+            nextPlan = turn.now().plusMs(pause(plan));
         }
         pump();
         if (active()) {
@@ -942,6 +984,11 @@
         }
     }
 
+    /** How long a plan must serve before the next: the larger it is, the longer. */
+    private long pause(Plan p) {
+        return PLAN_EVERY_MS + p.fits() / FITS_PER_MS;
+    }
+
     boolean wantsPlan() {
         return (replan || search != null) && active();
     }
@@ -973,7 +1020,7 @@
     private void plan() {
         plan = build(ordered());
         dispatch(plan);
-        preempt(plan);
+        preemption.run(plan, usedByTeams());
     }
 
     /** A plan with what runs and, in the given order, what waits. */
@@ -1187,7 +1234,7 @@
 
     private void dispatch(Plan next) {
         Map<String, double[]> used = null;
-        Map<JobRef, List<Integer>> waiting = new HashMap<>();
+        Map<JobRef, ArrayDeque<Integer>> waiting = new HashMap<>();
         Map<JobRef, Integer> due = new HashMap<>();
         Map<JobRef, Long> attempts = new HashMap<>();
         for (Plan.Reservation r : next.reservations()) {
@@ -1205,16 +1252,16 @@
             }
             Host h = hosts.get(r.host());
             if (used == null) {
-                used = teamUse();
+                used = usedByTeams();
             }
             if (!admissible(j, h, used)) {
                 continue;
             }
-            List<Integer> free = waiting.computeIfAbsent(r.job(), k -> new ArrayList<>(j.record.waiting(200)));
+            ArrayDeque<Integer> free = waiting.computeIfAbsent(r.job(), k -> new ArrayDeque<>(j.record.waiting(due.get(k))));
             if (free.isEmpty() || j.notBefore.ms() > turn.now().ms()) {
                 continue;
             }
-            TaskId id = new TaskId(r.job(), free.remove(0));
+            TaskId id = new TaskId(r.job(), free.poll());
             // A gang's tasks find one another by their common attempt.
             long attempt = j.spec().gang() ? attempts.computeIfAbsent(r.job(), k -> j.record.nextAttempt++)
                     : j.record.nextAttempt++;
@@ -1224,6 +1271,7 @@
             p.expectedMs = estimates.lengthMs(j.spec());
             j.record.live.put(id.index(), p);
             h.placements.put(id, p);
+            j.uncommitted++;
             h.idleSince = null;
             double[] u = used.computeIfAbsent(j.spec().team(), k -> new double[2]);
             u[0] += j.spec().cpus();
@@ -1232,95 +1280,16 @@
         }
     }
 
-    /** Stops lower work, the least of it, where a more urgent task would otherwise begin too late. */
-    private void preempt(Plan next) {
-        Set<Job> served = new HashSet<>();
-        Map<String, double[]> used = teamUse();
-        for (Plan.Reservation r : next.reservations()) {
-            Job j = jobs.get(r.job());
-            // Work that nothing outranks, or that begins in time, stops nobody.
-            if (j == null || r.beginMs() <= Math.max(latestStart(j), turn.now().ms() + SOON_MS)
-                    || j.notBefore.ms() > turn.now().ms() || j.spec().gang() || turn.now().before(j.nextPreemption)
-                    || overLimit(j, used)) {
-                continue;
-            }
-            List<Placement> victims = null;
-            double least = policy.preemptCpuS() * Math.max(1, j.spec().cpus());
-            for (Host h : hosts.values()) {
-                // Room that must first fetch the image may begin later than what is planned already. Made all the
-                // same, it is filled by the next in line, who is then stopped for it again, and again.
-                if (!usable(h) || h.ordersInFlight > 0 || roomBegins(h, j) + LEAST_GAIN_MS > r.beginMs()) {
-                    continue;
-                }
-                List<Placement> set = victimsOn(h, j);
-                double cost = set == null ? Double.POSITIVE_INFINITY : lost(set) + fetchCost(h, j);
-                if (cost < least) {
-                    least = cost;
-                    victims = set;
-                }
-            }
-            if (victims != null) {
-                for (Placement v : victims) {
-                    LOG.info("{} try {} on {} makes room for {}", v.task, v.attempt, v.host, j.ref());
-                    stop(v);
-                    direct(host(v.host));
-                }
-                served.add(j);
-            }
-        }
-        served.forEach(j -> j.nextPreemption = turn.now().plusMs(PREEMPTION_PAUSE_MS));
-    }
-
-    /** When a task of the job would begin on the host if room were made there now. */
-    private long roomBegins(Host h, Job j) {
-        HostType t = provisioner.type(h.type);
-        long fetch = h.images.containsKey(j.spec().image()) ? 0 : Math.round(1000 * j.spec().imageGb() / t.fetchGbPerS());
-        return turn.now().ms() + SOON_MS / 2 + fetch;
-    }
-
     /** Whether the team's limit, not the machines, keeps the job's next task waiting. */
-    private boolean overLimit(Job j, Map<String, double[]> used) {
+    boolean overLimit(Job j, Map<String, double[]> used) {
         JobSpec s = j.spec();
         Settings.Team team = settings.teams().get(s.team());
         double[] u = used.getOrDefault(s.team(), new double[2]);
         return team == null || u[0] + s.cpus() > team.cpusMax() + 1e-6 || u[1] + s.gpus() > team.gpusMax() + 1e-6;
     }
 
-    private boolean outranks(Job j, Job other) {
-        int urgency = j.spec().urgency().compareTo(other.spec().urgency());
-        boolean borrowed = !other.guaranteed && !other.spec().team().equals(j.spec().team());
-        // A guarantee could take back borrowed machines from more urgent work too, but that work waits worst.
-        return urgency < 0 || (urgency == 0 && j.guaranteed && borrowed);
-    }
-
-    /** The tasks to stop so that one of the job's fits on the host, youngest first; null where that can't be. */
-    private List<Placement> victimsOn(Host h, Job j) {
-        JobSpec s = j.spec();
-        HostType t = provisioner.type(h.type);
-        Room room = s.mayRunOn(t, h.zone, h.spot) && !s.sameZone() && !s.apart() ? roomBeside(h, t, s) : null;
-        if (room == null) {
-            return null;
-        }
-        List<Placement> lower = new ArrayList<>();
-        for (Placement p : h.placements.values()) {
-            if (p.sent && !p.killSent && outranks(j, jobs.get(p.task.job()))) {
-                lower.add(p);
-            }
-        }
-        lower.sort(Comparator.comparing((Placement p) -> p.running == null ? turn.now() : p.running).reversed());
-        List<Placement> out = new ArrayList<>();
-        for (Placement p : lower) {
-            if (room.enough()) {
-                break;
-            }
-            room = room.plus(jobs.get(p.task.job()).spec(), 1);
-            out.add(p);
-        }
-        return out.isEmpty() || !room.enough() ? null : out;
-    }
-
     /** What would be free on a machine; less than nothing where a task doesn't fit. */
-    private record Room(double cpus, double gpus, double memGb) {
+    record Room(double cpus, double gpus, double memGb) {
         Room plus(JobSpec s, int times) {
             return new Room(cpus + times * s.cpus(), gpus + times * s.gpus(), memGb + times * s.memGb());
         }
@@ -1331,7 +1300,7 @@
     }
 
     /** What is free on the host once such a task is there too; null where what is on it is not known. */
-    private Room roomBeside(Host h, HostType t, JobSpec s) {
+    Room roomBeside(Host h, HostType t, JobSpec s) {
         Room room = new Room(t.cpus(), t.gpus(), t.memGb()).plus(s, -1);
         for (Placement p : h.placements.values()) {
             Job other = jobs.get(p.task.job());
@@ -1343,29 +1312,20 @@
         return room;
     }
 
-    /** CPU seconds of work that stopping them throws away. */
-    private double lost(List<Placement> set) {
-        double sum = 0;
-        for (Placement p : set) {
-            JobSpec s = jobs.get(p.task.job()).spec();
-            double ran = p.running == null ? 0 : turn.now().since(p.running) / 1000.0;
-            double kept = s.checkpointS() > 0 ? Math.min(ran, s.checkpointS()) : ran;
-            sum += (1 + kept) * s.cpus();
-        }
-        return sum;
-    }
-
-    private double fetchCost(Host h, Job j) {
-        return h.images.containsKey(j.spec().image()) ? 0 : j.spec().imageGb() * j.spec().cpus();
-    }
-
     /** Has a task stopped, with time to save; sent with the host's next orders. */
     private void stop(Placement p) {
         p.killSent = true;
         host(p.host).outbox.add(Order.kill(p.task, p.attempt, jobs.get(p.task.job()).spec().saveS()));
     }
 
-    private Map<String, double[]> teamUse() {
+    /** Has a task stopped at once, for another's sake. */
+    void makeRoom(Placement p, Job forJob) {
+        LOG.info("{} try {} on {} makes room for {}", p.task, p.attempt, p.host, forJob.ref());
+        stop(p);
+        direct(host(p.host));
+    }
+
+    private Map<String, double[]> usedByTeams() {
         Map<String, double[]> used = new HashMap<>();
         for (Job j : jobs.values()) {
             double[] u = used.computeIfAbsent(j.spec().team(), k -> new double[2]);
--- a/src/main/java/org/beechhoist/core/Provisioner.java
+++ b/src/main/java/org/beechhoist/core/Provisioner.java
@@ -20,6 +20,7 @@
 import org.beechhoist.wire.Codec;
 import org.beechhoist.wire.HostId;
 import org.beechhoist.wire.HostType;
+import org.beechhoist.wire.JobRef;
 import org.beechhoist.wire.JobSpec;
 import org.beechhoist.wire.Tick;
 import org.slf4j.Logger;
@@ -32,12 +33,35 @@
     private static final int MAX_RETURN = 100;
     private static final long EVERY_MS = 1000;
     private static final long NO_CAPACITY_PAUSE_MS = 20_000;
+    /** Tasks that begin sooner than this are not rented for, and at most so many of a job beyond the plan. */
+    private static final long LATE_MS = 10_000;
+    private static final int MAX_UNPLACED = 500;
     /** A rental must gain at least this much for some task. */
     private static final long WORTH_MS = 5000;
     private static final int REMEMBERED_GONE = 4000;
+    private static final long SOON_HEARD_MS = 3000;
+    /** How long a new leadership waits for the first list before it rents without. */
+    private static final long FIRST_LIST_MS = 15_000;
+    /** Rentals of one kind in one turn. */
+    private static final int MAX_CALLS = 3;
+
+    /** A kind of machine to rent, in one zone. */
+    private static final class Offer {
+        final HostType type;
+        final String zone;
+        final boolean spot;
+        /** Machines asked for and not answered yet. */
+        int renting;
+        Tick refusedUntil = Tick.ZERO;
+        /** Machines this turn's plan would like. */
+        int wanted;
+
+        Offer(HostType type, String zone, boolean spot) {
+            this.type = type;
+            this.zone = zone;
+            this.spot = spot;
+        }
 
-    /** A kind of machine to rent. */
-    private record Offer(HostType type, String zone, boolean spot) {
         double costPerCpu() {
             return type.priceOf(spot) / Math.max(0.01, type.cpus());
         }
@@ -45,9 +69,30 @@
         boolean suits(JobSpec s) {
             return s.mayRunOn(type, zone, spot);
         }
+    }
+
+    /** What is still free on a machine about to be rented. */
+    private static final class Space {
+        final Offer offer;
+        double cpus;
+        double gpus;
+        double memGb;
+
+        Space(Offer offer) {
+            this.offer = offer;
+            cpus = offer.type.cpus();
+            gpus = offer.type.gpus();
+            memGb = offer.type.memGb();
+        }
 
-        String key() {
-            return type.name() + "/" + zone + "/" + spot;
+        boolean take(JobSpec s) {
+            if (cpus < s.cpus() || gpus < s.gpus() || memGb < s.memGb()) {
+                return false;
+            }
+            cpus -= s.cpus();
+            gpus -= s.gpus();
+            memGb -= s.memGb();
+            return true;
         }
     }
 
@@ -57,8 +102,7 @@
     private final Types types;
     private final Leader leader;
     private final Budget calls;
-    private final Map<String, Tick> refused = new HashMap<>();
-    private final Map<String, Integer> renting = new HashMap<>();
+    private final Map<String, Offer> offers = new LinkedHashMap<>();
     private final Set<HostId> gone = Collections.newSetFromMap(new LinkedHashMap<>() {
         @Override
         protected boolean removeEldestEntry(Map.Entry<HostId, Boolean> eldest) {
@@ -71,6 +115,10 @@
     private Tick nextTurn = Tick.ZERO;
     private Tick nextList = Tick.ZERO;
     private boolean listing;
+    /** Whether this leadership has seen all machines once: before that, it would rent what it already has. */
+    private boolean listed;
+    private Tick wonAt = Tick.ZERO;
+    private Tick lastRented = Tick.ZERO;
     private boolean returningCall;
 
     Provisioner(Turn turn, Settings settings, Policy policy, Types types, Leader leader) {
@@ -87,13 +135,15 @@
         baton = newBaton;
         sequence = 0;
         reign++;
-        refused.clear();
-        renting.clear();
+        offers.clear();
         gone.clear();
+        listed = false;
+        wonAt = turn.now();
+        lastRented = Tick.ZERO;
         listing = false;
         returningCall = false;
         nextList = turn.now();
-        nextTurn = turn.now().plusMs(3000);
+        nextTurn = turn.now();
     }
 
     HostType type(String name) {
@@ -105,6 +155,9 @@
     }
 
     long readyAt(Host h, HostType t) {
+        if (h.listedUp) {
+            return turn.now().ms() + SOON_HEARD_MS; // it runs, and only has to find this node
+        }
         long expected = (h.rentedAt == null ? turn.now().ms() : h.rentedAt.ms()) + Math.round(1100 * t.startupS());
         long late = turn.now().ms() - expected;
         return late > -2000 ? turn.now().ms() + Math.max(3000, late / 2) : expected;
@@ -121,7 +174,9 @@
         }
         lookAfterHosts(plan);
         sendReturns();
-        if (plan != null) {
+        boolean oriented = listed || turn.now().since(wonAt) > FIRST_LIST_MS;
+        // A plan older than the last rental's answer doesn't know those machines yet.
+        if (plan != null && oriented && plan.madeAtMs() > lastRented.ms()) {
             rentFor(plan);
         }
     }
@@ -158,6 +213,7 @@
     }
 
     private void listed(Map<HostId, JsonNode> found, Tick asked) {
+        listed = true;
         found.forEach((id, n) -> {
             if (gone.contains(id)) {
                 return; // the list lags
@@ -172,6 +228,7 @@
             if (h.rentedAt == null) {
                 h.rentedAt = asked.plusMs(-Math.round(1000 * n.path("ageS").asDouble(0)));
             }
+            h.listedUp = n.path("status").asText().equals("running");
             if (n.path("status").asText().equals("failed")) {
                 giveBack(h, "it failed");
             }
@@ -194,13 +251,18 @@
         }
     }
 
+    /** Machines that miss two reports; never less than the operator's setting. */
+    private long silentMs() {
+        return Math.max(policy.silentMs(), Math.round(2 * 1.25 * settings.workers().reportS() * 1000) + 3000);
+    }
+
     private void lookAfterHosts(Plan plan) {
         Set<HostId> planned = plan == null ? Set.of() : plan.plannedHosts();
         int up = 0;
         int silent = 0;
         for (Host h : leader.hosts.values()) {
             up += h.up ? 1 : 0;
-            silent += h.up && turn.now().since(leader.heard(h)) > policy.silentMs() ? 1 : 0;
+            silent += h.up && turn.now().since(leader.heard(h)) > silentMs() ? 1 : 0;
         }
         // Many at once: more likely the network around this node than the machines.
         boolean blind = silent > 2 && silent * 2 > up;
@@ -212,11 +274,13 @@
             if (!h.up) {
                 Tick since = h.rentedAt == null ? leader.heard(h) : h.rentedAt;
                 double allowed = t == null ? 120 : Math.max(3 * t.startupS(), t.startupS() + 45);
-                if (turn.now().since(since) > 1000 * allowed && turn.now().since(leader.heard(h)) > policy.silentMs()) {
+                if (turn.now().since(since) > 1000 * allowed && turn.now().since(leader.heard(h)) > silentMs()) {
                     giveBack(h, "it never came up");
                 }
-            } else if (turn.now().since(leader.heard(h)) > (blind ? settings.workers().leaseMs() : policy.silentMs())) {
+            } else if (turn.now().since(leader.heard(h)) > (blind ? settings.workers().leaseMs() : silentMs())) {
                 giveBack(h, "it is silent");
+            } else if (h.noticeEnds != null && h.placements.isEmpty() && h.strangers == 0) {
+                giveBack(h, "it is about to be taken and empty");
             } else if (leader.faulty(h)) {
                 giveBack(h, "jobs of several users failed on it");
             } else if (!h.placements.isEmpty() || h.strangers > 0 || planned.contains(h.id)) {
@@ -264,125 +328,153 @@
 
     // ---- renting ----
 
+    private List<Offer> offers() {
+        List<Offer> out = new ArrayList<>();
+        for (HostType t : types.all()) {
+            for (String zone : t.zones()) {
+                for (boolean spot : new boolean[] {true, false}) {
+                    String key = t.name() + "/" + zone + "/" + spot;
+                    Offer old = offers.get(key);
+                    if (old == null || old.type != t) { // prices move
+                        Offer o = new Offer(t, zone, spot);
+                        if (old != null) {
+                            o.renting = old.renting;
+                            o.refusedUntil = old.refusedUntil;
+                        }
+                        offers.put(key, o);
+                        old = o;
+                    }
+                    old.wanted = 0;
+                    out.add(old);
+                }
+            }
+        }
+        return out;
+    }
+
     private void rentFor(Plan plan) {
-        Map<Offer, Integer> wanted = new LinkedHashMap<>();
-        List<double[]> room = new ArrayList<>(); // free cpus, gpus and memory of what is about to be rented
-        List<Offer> rooms = new ArrayList<>();
+        long now = turn.now().ms();
+        List<Offer> all = offers();
+        List<Space> spaces = new ArrayList<>();
+        for (Offer o : all) {
+            for (int i = 0; i < o.renting; i++) {
+                spaces.add(new Space(o));
+            }
+        }
+        Map<JobRef, List<Long>> late = new LinkedHashMap<>();
         for (Plan.Reservation r : plan.reservations()) {
-            Job j = leader.job(r.job());
-            if (j != null) {
-                want(j, r.beginMs(), 1, room, rooms, wanted);
+            if (r.beginMs() - now >= LATE_MS) {
+                late.computeIfAbsent(r.job(), k -> new ArrayList<>()).add(r.beginMs());
             }
         }
+        late.forEach((ref, begins) -> {
+            Job j = leader.job(ref);
+            if (j != null) {
+                want(j, begins, all, spaces);
+            }
+        });
         for (Job j : leader.jobs()) {
-            if (!j.record.cancelled() && j.notBefore.before(turn.now())) {
-                want(j, Long.MAX_VALUE, Math.min(500, plan.unplaced(j.ref())), room, rooms, wanted);
+            int unplaced = j.record.cancelled() || !j.notBefore.before(turn.now()) ? 0 : plan.unplaced(j.ref());
+            if (unplaced > 0) {
+                want(j, Collections.nCopies(Math.min(MAX_UNPLACED, unplaced), Long.MAX_VALUE), all, spaces);
             }
         }
-        wanted.forEach((offer, n) -> {
-            if (renting.getOrDefault(offer.key(), 0) == 0 && calls.tryTake(turn.now(), 1)) {
-                rent(offer, Math.min(MAX_RENTAL, n), "r-" + baton.value() + "-" + ++sequence);
+        for (Offer o : all) {
+            for (int i = 0; i < MAX_CALLS && o.wanted > 0 && calls.tryTake(turn.now(), 1); i++) {
+                int n = Math.min(MAX_RENTAL, o.wanted);
+                o.wanted -= n;
+                rent(o, n, "r-" + baton.value() + "-" + ++sequence);
             }
-        });
+        }
     }
 
     /** A spot machine is worth renting to begin sooner; an ordinary one only where an objective is at stake. */
-    private void want(Job j, long beginMs, int tasks, List<double[]> room, List<Offer> rooms,
-            Map<Offer, Integer> wanted) {
+    private void want(Job j, List<Long> begins, List<Offer> all, List<Space> spaces) {
         JobSpec s = j.spec();
-        boolean atStake = beginMs > leader.latestStart(j);
-        for (int i = 0; i < tasks; i++) {
-            if (beginMs - turn.now().ms() < 10_000) {
-                return;
-            }
+        long latest = leader.latestStart(j);
+        int tried = 0; // a space too small for one of the job's tasks is too small for the next
+        for (long begin : begins) {
             boolean fitted = false;
-            for (int k = 0; k < room.size() && !fitted; k++) {
-                double[] f = room.get(k);
-                if (rooms.get(k).suits(s) && f[0] >= s.cpus() && f[1] >= s.gpus() && f[2] >= s.memGb()) {
-                    take(f, s);
-                    fitted = true;
-                }
+            while (!fitted && tried < spaces.size()) {
+                Space space = spaces.get(tried);
+                fitted = space.offer.suits(s) && space.take(s);
+                tried += fitted ? 0 : 1;
             }
             if (fitted) {
                 continue;
             }
             Offer best = null;
-            for (HostType t : types.all()) {
-                long ready = turn.now().ms() + Math.round(1000 * (t.startupS() + s.imageGb() / t.fetchGbPerS()));
-                if (ready + WORTH_MS > beginMs) {
-                    continue;
-                }
-                for (String zone : t.zones()) {
-                    for (boolean spot : new boolean[] {true, false}) {
-                        Offer o = new Offer(t, zone, spot);
-                        if (o.suits(s) && (spot || atStake || !s.spot()) && refused.getOrDefault(o.key(), Tick.ZERO).before(turn.now())
-                                && (best == null || o.costPerCpu() < best.costPerCpu() - 1e-9
-                                || (o.costPerCpu() < best.costPerCpu() + 1e-9
-                                && wanted.getOrDefault(o, 0) < wanted.getOrDefault(best, 0)))) {
-                            best = o;
-                        }
-                    }
+            for (Offer o : all) {
+                boolean allowed = o.spot || begin > latest || !s.spot();
+                if (allowed && o.refusedUntil.before(turn.now()) && worth(o, s, begin) && o.suits(s)
+                        && (best == null || cheaper(o, best))) {
+                    best = o;
                 }
             }
             if (best == null) {
-                return;
+                continue;
             }
-            wanted.merge(best, 1, Integer::sum);
-            double[] f = {best.type().cpus(), best.type().gpus(), best.type().memGb()};
-            take(f, s);
-            room.add(f);
-            rooms.add(best);
+            best.wanted++;
+            Space space = new Space(best);
+            space.take(s);
+            spaces.add(space);
         }
     }
 
-    private static void take(double[] f, JobSpec s) {
-        f[0] -= s.cpus();
-        f[1] -= s.gpus();
-        f[2] -= s.memGb();
+    private boolean worth(Offer o, JobSpec s, long beginMs) {
+        return turn.now().ms() + Math.round(1000 * (o.type.startupS() + s.imageGb() / o.type.fetchGbPerS())) + WORTH_MS
+                <= beginMs;
+    }
+
+    private static boolean cheaper(Offer o, Offer than) {
+        int cost = Double.compare(o.costPerCpu(), than.costPerCpu());
+        return cost < 0 || (cost == 0 && o.wanted < than.wanted);
     }
 
     /** The name is never used for anything else; it is repeated until there is an answer. */
     private void rent(Offer offer, int number, String name) {
-        renting.merge(offer.key(), number, Integer::sum);
-        ObjectNode body = Codec.map().put("rental", name).put("hosttype", offer.type().name())
-                .put("yard", offer.zone()).put("loaner", offer.spot()).put("number", number);
+        offer.renting += number;
+        ObjectNode body = Codec.map().put("rental", name).put("hosttype", offer.type.name())
+                .put("yard", offer.zone).put("loaner", offer.spot).put("number", number);
         attempt(offer, number, name, body, turn.now());
     }
 
-    private void attempt(Offer offer, int number, String name, ObjectNode body, Tick first) {
+    private void attempt(Offer asked, int number, String name, ObjectNode body, Tick first) {
         long r = reign;
         turn.call(Calls.Target.CLOUD, null, "POST", "/machines", body, 5000, o -> {
             if (r != reign) {
                 return;
             }
+            Offer offer = offers.get(asked.type.name() + "/" + asked.zone + "/" + asked.spot);
             if (o.ok() && o.body().path("hosts").isArray()) {
-                renting.remove(offer.key());
+                offer.renting -= number;
+                lastRented = turn.now();
                 int got = 0;
                 for (JsonNode n : o.body().get("hosts")) {
                     got++;
                     Host h = leader.host(new HostId(n.asText()));
-                    h.type = offer.type().name();
-                    h.zone = offer.zone();
-                    h.spot = offer.spot();
+                    h.type = offer.type.name();
+                    h.zone = offer.zone;
+                    h.spot = offer.spot;
                     h.rentedAt = first;
                 }
-                LOG.info("rental {}: {} of {} {} in {}{}", name, got, number, offer.type().name(), offer.zone(),
-                        offer.spot() ? ", spot" : "");
+                LOG.info("rental {}: {} of {} {} in {}{}", name, got, number, offer.type.name(), offer.zone,
+                        offer.spot ? ", spot" : "");
                 if (got < number) {
-                    refused.put(offer.key(), turn.now().plusMs(NO_CAPACITY_PAUSE_MS));
+                    offer.refusedUntil = turn.now().plusMs(NO_CAPACITY_PAUSE_MS);
                 }
             } else if (o.is(400)) {
-                renting.remove(offer.key());
-                refused.put(offer.key(), turn.now().plusMs(300_000));
+                offer.renting -= number;
+                offer.refusedUntil = turn.now().plusMs(300_000);
                 LOG.warn("rental {} is refused as malformed", name);
             } else if (o.is(503) && o.body() != null && "no capacity".equals(o.body().path("error").asText())) {
-                renting.remove(offer.key());
-                refused.put(offer.key(), turn.now().plusMs(NO_CAPACITY_PAUSE_MS));
+                offer.renting -= number;
+                offer.refusedUntil = turn.now().plusMs(NO_CAPACITY_PAUSE_MS);
             } else {
                 turn.after(1500, () -> {
                     if (r == reign) {
                         calls.take(turn.now(), 1);
-                        attempt(offer, number, name, body, first);
+                        attempt(asked, number, name, body, first);
                     }
                 });
             }
--- a/src/main/java/org/beechhoist/net/HttpClient.java
+++ b/src/main/java/org/beechhoist/net/HttpClient.java
@@ -7,11 +7,15 @@
 import java.nio.channels.SocketChannel;
 import java.util.ArrayDeque;
 import java.util.HashMap;
+import java.util.LinkedHashSet;
 import java.util.Map;
 import org.beechhoist.http.HttpMessage;
 import org.beechhoist.http.HttpParser;
 
-/** Requests to other services over kept connections, each with a deadline. */
+/**
+ * Requests to other services over kept connections, each with a deadline. Connections that nobody uses are kept up to
+ * a number, the latest used ones: with a thousand workers each kept socket is one that their reports may need.
+ */
 public final class HttpClient {
     /** How a request ended. */
     public sealed interface Outcome permits Answer, NotSent, Unknown {
@@ -52,18 +56,22 @@
 
     private final Loop loop;
     private final String contentType;
+    private final int maxIdle;
     private final Map<InetSocketAddress, Pool> pools = new HashMap<>();
+    /** Idle connections of all pools, the longest idle first. */
+    private final LinkedHashSet<Conn> kept = new LinkedHashSet<>();
 
-    public HttpClient(Loop loop, String contentType) {
+    public HttpClient(Loop loop, String contentType, int maxIdle) {
         this.loop = loop;
         this.contentType = contentType;
+        this.maxIdle = maxIdle;
     }
 
     public void request(InetSocketAddress address, String method, String path, byte[] body, long timeoutMs,
             Callback callback) {
         Pool pool = pools.computeIfAbsent(address, Pool::new);
         Pending p = new Pending(method, path, body, callback, new Loop.Deadline[1]);
-        Conn conn = pool.idle.pollLast(); // the warmest one
+        Conn conn = idle(pool);
         if (conn == null && pool.open >= MAX_PER_ADDRESS) {
             pool.waiting.add(p);
             p.deadline[0] = loop.after(timeoutMs, () -> {
@@ -75,6 +83,23 @@
         start(pool, conn, p, timeoutMs);
     }
 
+    /** The pool's warmest idle connection, or null. */
+    private Conn idle(Pool pool) {
+        Conn conn = pool.idle.pollLast();
+        if (conn != null) {
+            kept.remove(conn);
+        }
+        return conn;
+    }
+
+    private void keep(Conn conn) {
+        conn.pool.idle.addLast(conn);
+        kept.add(conn);
+        if (kept.size() > maxIdle) {
+            kept.iterator().next().drop();
+        }
+    }
+
     private void start(Pool pool, Conn idle, Pending p, long timeoutMs) {
         Conn conn = idle;
         try {
@@ -153,7 +178,7 @@
             if (m.closes() || !flushed()) {
                 drop();
             } else {
-                pool.idle.addLast(this);
+                keep(this);
             }
             next(pool);
             p.callback.done(new Answer(m.status(), m.body()));
@@ -184,7 +209,11 @@
             if (!closed) {
                 close();
                 pool.idle.remove(this);
+                kept.remove(this);
                 pool.open--;
+                if (pool.open == 0 && pool.waiting.isEmpty()) {
+                    pools.remove(pool.address, pool); // machines come and go; their addresses would gather here
+                }
             }
         }
     }
@@ -195,6 +224,6 @@
         }
         Pending p = pool.waiting.poll();
         p.deadline[0].cancel();
-        start(pool, pool.idle.pollLast(), p, 2000);
+        start(pool, idle(pool), p, 2000);
     }
 }
--- a/src/main/java/org/beechhoist/plan/Plan.java
+++ b/src/main/java/org/beechhoist/plan/Plan.java
@@ -1,6 +1,7 @@
 package org.beechhoist.plan;
 
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -21,8 +22,8 @@
  */
 public final class Plan {
     /** Tasks planned one by one for one entry, and for the whole plan; the rest of a run is beyond the horizon. */
-    private static final int MAX_PER_ENTRY = 200;
-    private static final int MAX_TASKS = 500;
+    static final int MAX_PER_ENTRY = 700;
+    private static final int MAX_TASKS = 6000;
     /** How often a gang's start is moved on in search of room for all of it. */
     private static final int MAX_GANG_MOVES = 12;
     /** Begins closer together than this are equally good, and money decides. */
@@ -50,10 +51,14 @@
     private final long nowMs;
     private double lowestCost = Double.POSITIVE_INFINITY;
     private final Map<String, List<PlanHost>> zones = new TreeMap<>();
-    private final Map<String, Profile> limits = new HashMap<>();
+    private final Map<String, TeamLimit> limits = new HashMap<>();
     private final List<Reservation> reservations = new ArrayList<>();
     private final Map<JobRef, Integer> unplaced = new HashMap<>();
     private final Map<JobRef, Long> firstStart = new HashMap<>();
+    /** The machines an entry may use, the best place for its next task first; a heap, made anew for each entry. */
+    private PlanHost[] candidates = new PlanHost[64];
+    private int candidateCount;
+    private long fits;
 
     public Plan(long nowMs, Collection<PlanHost> hosts) {
         this.nowMs = nowMs;
@@ -65,11 +70,23 @@
 
     /** A team's limit, and what it has in use until given times. */
     public void limit(String team, double cpus, double gpus) {
-        limits.put(team, new Profile(nowMs, cpus, gpus, Double.POSITIVE_INFINITY));
+        limits.put(team, new TeamLimit(nowMs, cpus, gpus));
     }
 
     public void use(String team, long endMs, double cpus, double gpus) {
-        limits.get(team).take(nowMs, endMs, cpus, gpus, 0);
+        TeamLimit limit = limits.get(team);
+        if (limit != null) {
+            limit.take(nowMs, endMs, cpus, gpus);
+        }
+    }
+
+    public long madeAtMs() {
+        return nowMs;
+    }
+
+    /** How many gaps were looked for: what this plan has cost. */
+    public long fits() {
+        return fits;
     }
 
     public List<Reservation> reservations() {
@@ -102,17 +119,93 @@
         }
     }
 
+    /**
+     * Each machine's earliest gap is looked for once, then again only on the machine that took a task: an entry costs
+     * its machines and tasks, not their product.
+     */
     private int placeEach(Entry e, int most, String only) {
+        JobSpec s = e.spec();
+        if (most <= 0) {
+            return 0;
+        }
+        TeamLimit team = limits.get(s.team());
+        Profile limit = team == null ? null : team.within(e.waiting() * s.cpus(), e.waiting() * s.gpus());
+        gather(e, only, limit);
+        int perZone = s.apart() ? (s.tasks() + 1) / 2 : Integer.MAX_VALUE;
         Map<String, Integer> inZone = new HashMap<>(e.liveByZone());
-        for (int placed = 0; placed < most; placed++) {
-            Reservation r = earliest(e, inZone, only);
-            if (r == null) {
-                return placed;
+        int placed = 0;
+        while (placed < most && candidateCount > 0) {
+            PlanHost h = candidates[0];
+            if (perZone < Integer.MAX_VALUE && inZone.getOrDefault(h.zone, 0) >= perZone) {
+                dropFirst();
+                continue;
             }
-            commit(r, e);
-            inZone.merge(r.zone(), 1, Integer::sum);
+            if (limit != null) {
+                long before = h.score;
+                if (!look(h, e, limit)) {
+                    dropFirst();
+                    continue;
+                }
+                if (h.score > before) { // its team's other tasks have taken that moment meanwhile
+                    sift(0);
+                    continue;
+                }
+            }
+            commit(h, e, team);
+            inZone.merge(h.zone, 1, Integer::sum);
+            placed++;
+            if (look(h, e, limit)) {
+                sift(0);
+            } else {
+                dropFirst();
+            }
+        }
+        return placed;
+    }
+
+    private void gather(Entry e, String only, Profile limit) {
+        candidateCount = 0;
+        for (Map.Entry<String, List<PlanHost>> z : zones.entrySet()) {
+            if (only != null && !only.equals(z.getKey())) {
+                continue;
+            }
+            for (PlanHost h : z.getValue()) {
+                if (e.spec().mayRunOn(h.type, h.zone, h.spot) && look(h, e, limit)) {
+                    if (candidateCount == candidates.length) {
+                        candidates = Arrays.copyOf(candidates, 2 * candidateCount);
+                    }
+                    candidates[candidateCount++] = h;
+                }
+            }
+        }
+        for (int i = candidateCount / 2 - 1; i >= 0; i--) {
+            sift(i);
+        }
+    }
+
+    private void sift(int at) {
+        PlanHost h = candidates[at];
+        int i = at;
+        while (2 * i + 1 < candidateCount) {
+            int child = 2 * i + 1;
+            if (child + 1 < candidateCount && better(candidates[child + 1], candidates[child])) {
+                child++;
+            }
+            if (!better(candidates[child], h)) {
+                break;
+            }
+            candidates[i] = candidates[child];
+            i = child;
+        }
+        candidates[i] = h;
+    }
+
+    private void dropFirst() {
+        candidates[0] = candidates[--candidateCount];
+        candidates[candidateCount] = null;
+        if (candidateCount > 0) {
+            sift(0);
         }
-        return most;
     }
 
     private int placeTogether(Entry e, int most, String only) {
@@ -145,9 +238,9 @@
     private <T> T trial(Entry e, Supplier<T> attempt) {
         Map<String, List<PlanHost>> kept = new HashMap<>(zones);
         zones.replaceAll((z, hosts) -> hosts.stream().map(PlanHost::copy).collect(Collectors.toList()));
-        Profile keptLimit = limits.get(e.spec().team());
+        TeamLimit keptLimit = limits.get(e.spec().team());
         if (keptLimit != null) {
-            limits.put(e.spec().team(), new Profile(keptLimit));
+            limits.put(e.spec().team(), new TeamLimit(keptLimit));
         }
         int before = reservations.size();
         Long first = firstStart.get(e.job());
@@ -165,18 +258,14 @@
         return result;
     }
 
-    private void commit(Reservation r, Entry e) {
+    private void commit(PlanHost h, Entry e, TeamLimit team) {
         JobSpec s = e.spec();
-        for (PlanHost h : zones.get(r.zone())) {
-            if (h.id.equals(r.host())) {
-                h.profile.take(r.startMs(), r.endMs(), s.cpus(), s.gpus(), s.memGb());
-                h.image(s.image(), r.beginMs());
-                h.planned = true;
-            }
-        }
-        Profile team = limits.get(s.team());
+        Reservation r = new Reservation(e.job(), s, h.id, h.up, h.zone, h.start, h.fetch, h.start + h.fetch + e.lengthMs());
+        h.profile.take(r.startMs(), r.endMs(), s.cpus(), s.gpus(), s.memGb());
+        h.image(s.image(), r.beginMs());
+        h.planned = true;
         if (team != null) {
-            team.take(r.startMs(), r.endMs(), s.cpus(), s.gpus(), 0);
+            team.take(r.startMs(), r.endMs(), s.cpus(), s.gpus());
         }
         reservations.add(r);
         firstStart.merge(e.job(), r.startMs(), Math::min);
@@ -207,45 +296,20 @@
         return best == null ? "" : best;
     }
 
-    private Reservation earliest(Entry e, Map<String, Integer> inZone, String onlyZone) {
+    /** Finds the earliest gap for one of the entry's tasks on the machine, and what that place is worth. */
+    private boolean look(PlanHost h, Entry e, Profile limit) {
         JobSpec s = e.spec();
-        Profile team = limits.get(s.team());
-        int perZone = s.apart() ? (s.tasks() + 1) / 2 : Integer.MAX_VALUE;
-        PlanHost best = null;
-        long bestStart = Profile.NEVER;
-        long bestScore = Profile.NEVER;
-        long bestFetch = 0;
-        for (Map.Entry<String, List<PlanHost>> z : zones.entrySet()) {
-            String zone = z.getKey();
-            if ((onlyZone != null && !onlyZone.equals(zone)) || inZone.getOrDefault(zone, 0) >= perZone) {
-                continue;
-            }
-            for (PlanHost h : z.getValue()) {
-                if (!s.mayRunOn(h.type, h.zone, h.spot)) {
-                    continue;
-                }
-                long at = Math.max(nowMs, Math.max(h.readyMs, e.notBeforeMs()));
-                long wait = priceInMs(h, e);
-                if (best != null && at + wait > bestScore + TIE_MS) {
-                    continue;
-                }
-                long fetch = h.fetchMs(s.image(), s.imageGb(), at);
-                long start = fit(h, team, at, e.lengthMs() + fetch, s);
-                if (start == Profile.NEVER) {
-                    continue;
-                }
-                fetch = h.fetchMs(s.image(), s.imageGb(), start);
-                long score = start + fetch + wait;
-                if (best == null || better(h, score, best, bestScore)) {
-                    best = h;
-                    bestScore = score;
-                    bestStart = start;
-                    bestFetch = fetch;
-                }
-            }
+        fits++;
+        long at = Math.max(nowMs, Math.max(h.readyMs, e.notBeforeMs()));
+        long start = fit(h, limit, at, e.lengthMs() + h.fetchMs(s.image(), s.imageGb(), at), s);
+        if (start == Profile.NEVER) {
+            return false;
         }
-        return best == null ? null : new Reservation(e.job(), s, best.id, best.up, best.zone, bestStart, bestFetch,
-                bestStart + bestFetch + e.lengthMs());
+        h.start = start;
+        h.fetch = h.fetchMs(s.image(), s.imageGb(), start);
+        h.score = start + h.fetch + priceInMs(h, e);
+        h.free = h.profile.freeCpusAt(start);
+        return true;
     }
 
     private static long fit(PlanHost h, Profile team, long at, long length, JobSpec s) {
@@ -269,20 +333,15 @@
         return Math.round(e.patienceMs() * Math.max(0, Math.min(1, over)));
     }
 
-    private boolean better(PlanHost h, long score, PlanHost than, long thanScore) {
-        if (Math.abs(score - thanScore) > TIE_MS) {
-            return score < thanScore;
+    private boolean better(PlanHost h, PlanHost than) {
+        long step = (h.score - nowMs) / TIE_MS;
+        long other = (than.score - nowMs) / TIE_MS;
+        if (step != other) {
+            return step < other;
         }
-        int cost = Double.compare(h.costPerCpu(), than.costPerCpu());
-        if (cost != 0) {
-            return cost < 0;
+        if (h.costPerCpu() != than.costPerCpu()) {
+            return h.costPerCpu() < than.costPerCpu();
         }
-        return h.profile.freeCpusAt(score) < than.profile.freeCpusAt(score);
+        return h.free != than.free ? h.free < than.free : h.score < than.score;
     }
-
-    /** Adds a machine that is to be had later. */
-    public void add(PlanHost h) {
-        zones.computeIfAbsent(h.zone, z -> new ArrayList<>()).add(h);
-    }
-
 }
--- a/src/main/java/org/beechhoist/plan/PlanHost.java
+++ b/src/main/java/org/beechhoist/plan/PlanHost.java
@@ -15,8 +15,14 @@
     final long readyMs;
     Profile profile;
     private Map<String, Long> imageReady = new HashMap<>();
+    private final double costPerCpu;
     /** Whether this plan puts anything new on it. */
     boolean planned;
+    /** The best place for the next task of the entry being placed: see {@link Plan}. */
+    long start;
+    long fetch;
+    long score;
+    double free;
 
     public PlanHost(HostId id, HostType type, String zone, boolean spot, boolean up, long readyMs) {
         this.id = id;
@@ -25,6 +31,7 @@
         this.spot = spot;
         this.up = up;
         this.readyMs = readyMs;
+        this.costPerCpu = type.priceOf(spot) / Math.max(0.01, type.cpus());
         this.profile = new Profile(readyMs, type.cpus(), type.gpus(), type.memGb());
     }
 
@@ -45,7 +52,7 @@
     }
 
     double costPerCpu() {
-        return type.priceOf(spot) / Math.max(0.01, type.cpus());
+        return costPerCpu;
     }
 
     PlanHost copy() {
--- /dev/null
+++ b/src/main/java/org/beechhoist/plan/TeamLimit.java
@@ -0,0 +1,73 @@
+package org.beechhoist.plan;
+
+import java.util.ArrayList;
+import java.util.List;
+
+/**
+ * What a team's limit leaves free over time, in whole seconds: starts rounded down and ends up, so that it errs on
+ * the safe side and its steps stay few however many tasks there are.
+ */
+final class TeamLimit {
+    private static final long STEP_MS = 1000;
+    private static final double EPSILON = 1e-6;
+
+    private record Use(long from, long to, double cpus, double gpus) {
+    }
+
+    private final long nowMs;
+    private final double cpus;
+    private final double gpus;
+    private double cpusEver;
+    private double gpusEver;
+    /** Not yet in the profile, which is made only for a team that may reach its limit. */
+    private final List<Use> pending;
+    private Profile profile;
+
+    TeamLimit(long nowMs, double cpus, double gpus) {
+        this.nowMs = nowMs;
+        this.cpus = cpus;
+        this.gpus = gpus;
+        this.pending = new ArrayList<>();
+    }
+
+    TeamLimit(TeamLimit o) {
+        nowMs = o.nowMs;
+        cpus = o.cpus;
+        gpus = o.gpus;
+        cpusEver = o.cpusEver;
+        gpusEver = o.gpusEver;
+        pending = new ArrayList<>(o.pending);
+        profile = o.profile == null ? null : new Profile(o.profile);
+    }
+
+    void take(long from, long to, double c, double g) {
+        cpusEver += c;
+        gpusEver += g;
+        Use u = new Use(nowMs + (from - nowMs) / STEP_MS * STEP_MS,
+                nowMs + (to - nowMs + STEP_MS - 1) / STEP_MS * STEP_MS, c, g);
+        if (profile == null) {
+            if (!unlimited()) {
+                pending.add(u);
+            }
+        } else {
+            profile.take(u.from, u.to, u.cpus, u.gpus, 0);
+        }
+    }
+
+    private boolean unlimited() {
+        return Double.isInfinite(cpus) && Double.isInfinite(gpus);
+    }
+
+    /** What is free over time; null where even everything at once, and that much more, stays within the limit. */
+    Profile within(double moreCpus, double moreGpus) {
+        if (cpusEver + moreCpus <= cpus + EPSILON && gpusEver + moreGpus <= gpus + EPSILON) {
+            return null;
+        }
+        if (profile == null) {
+            profile = new Profile(nowMs, cpus, gpus, Double.POSITIVE_INFINITY);
+            pending.forEach(u -> profile.take(u.from, u.to, u.cpus, u.gpus, 0));
+            pending.clear();
+        }
+        return profile;
+    }
+}
--- a/src/main/java/org/beechhoist/store/Budget.java
+++ b/src/main/java/org/beechhoist/store/Budget.java
@@ -5,22 +5,30 @@
 /** A token bucket that holds a second's worth. What must not wait may overdraw it; others then wait longer. */
 public final class Budget {
     private double rate;
+    private double most;
     private double tokens;
     private Tick last = Tick.ZERO;
 
     public Budget(double rate) {
         this.rate = rate;
+        this.most = Math.max(1, rate);
         this.tokens = rate;
     }
 
-    public void setRate(double perSecond) {
+    /** @param least what may be taken at once after a quiet while, however low the rate */
+    public void setRate(double perSecond, double least) {
         rate = perSecond;
-        tokens = Math.min(tokens, Math.max(1, rate));
+        most = Math.max(least, rate);
+        tokens = Math.min(tokens, most);
+    }
+
+    public double rate() {
+        return rate;
     }
 
     private void refill(Tick now) {
         if (last != Tick.ZERO) {
-            tokens = Math.min(Math.max(1, rate), tokens + rate * now.since(last) / 1000.0);
+            tokens = Math.min(most, tokens + rate * now.since(last) / 1000.0);
         }
         last = now;
     }
--- a/src/test/java/org/beechhoist/plan/PlanTest.java
+++ b/src/test/java/org/beechhoist/plan/PlanTest.java
@@ -189,7 +189,7 @@
         Plan plan = new Plan(NOW, List.of(h));
         JobSpec s = spec(1, "array", 100_000, 1, 0, false, false);
         plan.place(entry(s, 1000));
-        assertTrue(plan.reservations().size() <= 200);
+        assertTrue(plan.reservations().size() <= Plan.MAX_PER_ENTRY);
         assertEquals(100_000 - plan.reservations().size(), plan.unplaced(s.ref()));
     }
 
