Leaders leave writes to their users; a watch of an old key no longer spins

And a leader spent every write it had, so that submissions to it found none. Change: the key is read by a listing, which tells the store's revision, and watched from there; the leader leaves 4 writes. Excluded: workers' and users' traffic (a tenth of the requests). Test: the simulation gets a large case of 5 and 7 nodes and over 1,000 machines with the deployments' troubles, its bounds on counted work; its store forgets changes early, so that old watches are met on it.

--- a/src/main/java/org/beechhoist/core/Election.java
+++ b/src/main/java/org/beechhoist/core/Election.java
@@ -98,24 +98,29 @@
 
     private void readKey(long r) {
         requests.take(turn.now(), 1);
-        store.get(KEY, read -> {
+        // A listing, for it tells the store's revision too: the key's own may be older than any change the store still
+        // keeps, and a watch from there would be answered 410 at once, for ever.
+        store.list(KEY, null, 10, page -> {
             if (r != round || leading) {
                 return;
             }
-            if (!read.known()) {
+            if (!page.ok()) {
                 later(700, r);
-            } else if (read.item() == null) {
-                leader = null;
+                return;
+            }
+            StoreClient.Item item = null;
+            for (StoreClient.Item i : page.items()) {
+                item = i.key().equals(KEY) ? i : item;
+            }
+            leader = item == null ? null : item.value().path("node").asText(null);
+            if (item == null) {
                 stand(r, Revision.ABSENT);
+            } else if (node.equals(leader)) {
+                // An earlier life of this process held it; that process is dead, so its key may be replaced.
+                leader = null;
+                stand(r, item.version());
             } else {
-                leader = read.item().value().path("node").asText(null);
-                if (node.equals(leader)) {
-                    // An earlier life of this process held it; that process is dead, so its key may be replaced.
-                    leader = null;
-                    stand(r, read.item().version());
-                } else {
-                    watch(r, read.item().version());
-                }
+                watch(r, page.revision());
             }
         });
     }
@@ -127,7 +132,7 @@
                 return;
             }
             if (c.status() != 200) {
-                later(c.status() == 410 ? 0 : 500, r);
+                later(c.status() == 410 ? 100 : 500, r);
                 return;
             }
             StoreClient.Item last = null;
--- a/src/main/java/org/beechhoist/core/Leader.java
+++ b/src/main/java/org/beechhoist/core/Leader.java
@@ -61,6 +61,8 @@
     private static final long GATHER_MS = 2000;
     /** The share of a second's writes that is kept for launches and ends of jobs. */
     private static final double KEPT_WRITES = 0.4;
+    /** Writes that are left to this node's own users: a leader that spends all would refuse every submission. */
+    private static final double USERS_WRITES = 4;
     private static final long ROTATE_EVERY_MS = 2000;
     private static final long STARVED_MS = 1000;
     private static final long DIRECT_TIMEOUT_MS = 3000;
@@ -359,7 +361,7 @@
         if (rotating) {
             election.rotateIn(txn);
         }
-        double budget = writes.available(turn.now());
+        double budget = writes.available(turn.now()) - USERS_WRITES;
         int most = (int) Math.min(settings.stateLimits().txnOps(), Math.floor(budget));
         if (most < 1) {
             return;
--- a/src/main/java/org/beechhoist/standin/StateService.java
+++ b/src/main/java/org/beechhoist/standin/StateService.java
@@ -13,7 +13,8 @@
 
 /** A stand-in of the state service, written from the protocol. For tests and trials: it keeps nothing on disk. */
 public final class StateService {
-    private static final int KEPT_CHANGES = 10_000;
+    /** What the protocol promises. */
+    public static final int KEPT_CHANGES = 10_000;
     private static final int MAX_PAGE_BYTES = 400 * 1024;
 
     private record Value(JsonNode data, long version, long lease) {
@@ -38,11 +39,18 @@
     private final int valueBytes;
     private long revision;
     private long nextLease = 1;
+    private final int kept;
     private boolean out;
 
     public StateService(int txnOps, int valueBytes) {
+        this(txnOps, valueBytes, KEPT_CHANGES);
+    }
+
+    /** @param kept changes that a watch can still be told of; it is told 410 for older ones */
+    public StateService(int txnOps, int valueBytes, int kept) {
         this.txnOps = txnOps;
         this.valueBytes = valueBytes;
+        this.kept = kept;
     }
 
     /** Begins or ends an outage; at its end every lease has its full time again. */
@@ -89,8 +97,8 @@
 
     private void record(Change c) {
         log.add(c);
-        if (log.size() > KEPT_CHANGES) {
-            log.subList(0, KEPT_CHANGES / 10).clear();
+        if (log.size() > kept) {
+            log.subList(0, kept / 10).clear();
         }
     }
 
--- a/src/test/java/org/beechhoist/sim/SimulationTest.java
+++ b/src/test/java/org/beechhoist/sim/SimulationTest.java
@@ -9,6 +9,7 @@
 import org.junit.jupiter.api.condition.EnabledIfSystemProperty;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** Seeded days with troubles; every rule is checked after every event, and the work must be finished in the end. */
 class SimulationTest {
@@ -93,6 +94,70 @@
         }
     }
 
+    /**
+     * Over a thousand machines and thousands of waiting tasks: the rules hold through the troubles, the work is done,
+     * and what the controllers ask of others stays in proportion. Once a plan looked at 500 tasks at most and rented
+     * for all others again and again; and ended tasks were written one by one.
+     */
+    @ParameterizedTest
+    @ValueSource(ints = {5, 7})
+    void aLargeRegionIsServed(int nodes) {
+        World w = new World(nodes, new World.Scale(nodes, 300, 6000, 500));
+        long arrivals = 110_000;
+        for (int i = 0; i < 70; i++) {
+            w.later(i * 20L, () -> arriveLarge(w));
+        }
+        w.every(900, () -> {
+            if (w.now < arrivals) {
+                arriveLarge(w);
+            }
+        });
+        w.every(7000, () -> {
+            if (w.now < arrivals) {
+                w.cancelSome();
+                w.askForUnknown();
+            }
+        });
+        w.later(40_000, () -> w.crash(0, 4000));
+        w.later(55_000, () -> times(60, w::loseMachine));
+        w.later(65_000, () -> times(75, () -> w.cutMachine(15_000)));
+        w.later(75_000, () -> times(48, () -> w.hangMachine(25_000)));
+        w.later(85_000, () -> w.stateOutage(10_000));
+        w.later(100_000, () -> times(nodes, new Runnable() {
+            private int next;
+
+            @Override
+            public void run() {
+                w.crash(next++, 3000);
+            }
+        }));
+        w.runUntil(60_000);
+        int most = w.machinesUp();
+        w.runUntil(arrivals + 200_000);
+        String did = most + " machines, " + w.started + " starts, " + w.counted.summary();
+        assertEquals(List.of(), w.unfinished());
+        assertTrue(most > 1000 && w.started >= 6000, did);
+        // A job's life is a put for its submission, some for its launches and ends, two for its own end. Watches of a
+        // key that had not changed for long were once answered 410 and asked again without a pause.
+        assertTrue(w.counted.puts <= 20L * w.accepted(), did);
+        assertTrue(w.counted.storeRequests <= 60L * w.accepted() + 10_000, did);
+        assertTrue(w.counted.direct <= 1.5 * w.started, did);
+        assertTrue(w.counted.cloudCalls <= 1000, did);
+    }
+
+    private static void times(int n, Runnable action) {
+        for (int i = 0; i < n; i++) {
+            action.run();
+        }
+    }
+
+    private static void arriveLarge(World w) {
+        boolean urgent = w.random.nextInt(3) == 0;
+        w.submit(urgent ? "fast" : "slow", false, w.random.nextInt(5, 80), w.random.nextInt(2, 5),
+                w.random.nextInt(15, 50), n -> n.put("owner", "blue").put("urgency", urgent ? "urgent" : "normal")
+                        .put("loaner", true).put("bundle", "img-" + w.random.nextInt(12)).put("dueS", 150.0));
+    }
+
     private static World day(List<Trouble> troubles, long seed) {
         World w = new World(seed);
         boolean all = troubles.contains(Trouble.EVERYTHING);
--- a/src/test/java/org/beechhoist/sim/World.java
+++ b/src/test/java/org/beechhoist/sim/World.java
@@ -41,23 +41,12 @@
             site = "a"
             public_addr = "127.0.0.1:8080"
             internal_addr = "127.0.0.1:8081"
-            [[seeds]]
-            host_name = "node-0"
-            site = "a"
-            address = "127.0.0.1:9000"
-            [[seeds]]
-            host_name = "node-1"
-            site = "b"
-            address = "127.0.0.1:9001"
-            [[seeds]]
-            host_name = "node-2"
-            site = "b"
-            address = "127.0.0.1:9002"
+            %s
             [outside]
             cloud = "127.0.0.1:1"
             state = "127.0.0.1:2"
             [deployment]
-            nodes = 3
+            nodes = %d
             zones = ["a", "b"]
             clock_error_ms = 100.0
             [[deployment.teams]]
@@ -72,7 +61,7 @@
             within_s = 4.0
             share = 0.9
             [deployment.workers]
-            report_s = 3.0
+            report_s = %s
             lease_s = 20.0
             cancel_s = 45.0
             [deployment.state]
@@ -84,10 +73,32 @@
             rps = 5.0
             list_lag_s = 5.0
             [deployment.quota]
-            max_sockets = 1000
+            max_sockets = 2000
             """;
     private static final double LIMIT_RED = 24;
 
+    /**
+     * How large a world is. With many machines the rules that need a look at all of them are checked every
+     * {@code checkMs} only; those about a task's start are checked at each start.
+     */
+    record Scale(int nodes, int perKind, long reportMs, long checkMs) {
+        static final Scale SMALL = new Scale(3, 4, 3000, 0);
+    }
+
+    /** Work that the controllers had others do, counted so that a bound on it gives the same verdict every time. */
+    static final class Counted {
+        long storeRequests;
+        long puts;
+        long cloudCalls;
+        long direct;
+        long checkins;
+
+        String summary() {
+            return storeRequests + " store requests, " + puts + " puts, " + cloudCalls + " cloud calls, " + direct
+                    + " direct orders, " + checkins + " check-ins";
+        }
+    }
+
     /** A controller process; its life counts restarts, and messages of an earlier life find nobody. */
     private final class Node {
         private final int index;
@@ -119,7 +130,7 @@
             drift = random.nextInt(-50, 51);
             open.clear();
             try {
-                core = new Controller(Settings.parse(SETTINGS.formatted("node-" + index)), Policy.DEFAULT,
+                core = new Controller(Settings.parse(settings(index)), Policy.DEFAULT,
                         new Metrics(), random.nextLong());
             } catch (Settings.Bad e) {
                 throw new IllegalStateException(e);
@@ -193,7 +204,7 @@
 
         Machine(Worker worker) {
             this.worker = worker;
-            this.target = random.nextInt(3);
+            this.target = random.nextInt(nodes.length);
         }
 
         boolean cut() {
@@ -224,10 +235,14 @@
     private long order;
     private final PriorityQueue<Event> events = new PriorityQueue<>(
             (a, b) -> a.at != b.at ? Long.compare(a.at, b.at) : Long.compare(a.order, b.order));
-    private final long[] wallOff = new long[3];
-    private final StateService state = new StateService(16, 8192);
+    private final Scale scale;
+    final Counted counted = new Counted();
+    private long nextCheck;
+    private final long[] wallOff;
+    /** It forgets changes sooner than the protocol has it, so that watches are told so on every larger day. */
+    private final StateService state = new StateService(16, 8192, 400);
     private final Cloud cloud;
-    private final Node[] nodes = {new Node(0), new Node(1), new Node(2)};
+    private final Node[] nodes;
     private final Map<String, Machine> machines = new LinkedHashMap<>();
     private final Map<String, UserJob> jobs = new LinkedHashMap<>();
     private final List<HostType> types = List.of(
@@ -244,12 +259,20 @@
     double orderTrouble;
 
     World(long seed) {
+        this(seed, Scale.SMALL);
+    }
+
+    World(long seed, Scale scale) {
         this.seed = seed;
+        this.scale = scale;
         this.random = new SplittableRandom(seed);
-        for (int i = 0; i < 3; i++) {
+        this.nodes = new Node[scale.nodes];
+        this.wallOff = new long[scale.nodes];
+        for (int i = 0; i < nodes.length; i++) {
+            nodes[i] = new Node(i);
             wallOff[i] = random.nextInt(-100, 101);
         }
-        cloud = new Cloud(types, 4, 0.05, random.split(), this::machineChanged);
+        cloud = new Cloud(types, scale.perKind, 0.05, random.split(), this::machineChanged);
         for (Node n : nodes) {
             n.boot();
         }
@@ -259,6 +282,27 @@
         });
     }
 
+    private String settings(int index) {
+        StringBuilder seeds = new StringBuilder();
+        for (int i = 0; i < nodes.length; i++) {
+            seeds.append("""
+                    [[seeds]]
+                    host_name = "node-%d"
+                    site = "%s"
+                    address = "127.0.0.1:%d"
+                    """.formatted(i, i == 0 ? "a" : "b", 9000 + i));
+        }
+        return SETTINGS.formatted("node-" + index, seeds, nodes.length, scale.reportMs / 1000.0);
+    }
+
+    int nodeCount() {
+        return nodes.length;
+    }
+
+    int machinesUp() {
+        return (int) machines.values().stream().filter(m -> !m.gone).count();
+    }
+
     // ---- time ----
 
     void later(long ms, Runnable action) {
@@ -277,7 +321,10 @@
             Event e = events.poll();
             now = e.at;
             e.action.run();
-            checkRules();
+            if (now >= nextCheck) {
+                nextCheck = now + scale.checkMs;
+                checkRules();
+            }
         }
         now = until;
     }
@@ -296,6 +343,7 @@
         };
         later(c.timeoutMs(), () -> back.accept(Outcome.UNKNOWN));
         long there = 1 + random.nextInt(4);
+        count(c);
         switch (c.target()) {
             case STATE -> toState(from, c, back, there);
             case CLOUD -> later(50 + random.nextInt(100), () -> {
@@ -307,6 +355,17 @@
         }
     }
 
+    private void count(Effect.Call c) {
+        switch (c.target()) {
+            case STATE -> {
+                counted.storeRequests++;
+                counted.puts += c.path().equals("/commit") ? c.body().path("then").size() : 0;
+            }
+            case CLOUD -> counted.cloudCalls++;
+            default -> counted.direct++;
+        }
+    }
+
     private void toState(Node from, Effect.Call c, Consumer<Outcome> back, long there) {
         boolean commit = c.path().equals("/commit");
         boolean trouble = commit && random.nextDouble() < stateTrouble;
@@ -399,14 +458,14 @@
             m.held.clear();
             all.forEach(Runnable::run);
         }
-        if (!m.reporting && (now >= m.nextReport || (m.worker.changed() && now >= m.nextReport - 2500))) {
+        if (!m.reporting && (now >= m.nextReport || (m.worker.changed() && now >= m.nextReport - scale.reportMs * 5 / 6))) {
             report(m);
         }
     }
 
     private void report(Machine m) {
         m.reporting = true;
-        m.nextReport = now + 2250 + random.nextInt(1500);
+        m.nextReport = now + scale.reportMs * 3 / 4 + random.nextInt((int) scale.reportMs / 2);
         byte[] body = Codec.encode(m.worker.report());
         long sent = now;
         long shift = m.worker.shift();
@@ -424,7 +483,7 @@
                 JsonNode to = a == null || a.body() == null ? null : a.body().get("foreman");
                 int next = to == null ? -1 : Integer.parseInt(to.asText().substring("node-".length()));
                 boolean useful = next >= 0 && next != m.target;
-                m.target = useful ? next : (m.target + 1) % 3;
+                m.target = useful ? next : (m.target + 1) % nodes.length;
                 m.nextReport = now + (useful ? random.nextInt(500) : 1000);
             }
         };
@@ -433,6 +492,7 @@
             if (node.core == null) {
                 later(1, () -> answer.accept(null));
             } else {
+                counted.checkins++;
                 node.request("POST", "/checkin", body, a -> {
                     JsonNode copied = copy(a.body());
                     Effect.Answer back = new Effect.Answer(0, a.status(), copied, 0);
@@ -524,7 +584,7 @@
     }
 
     private void ask(String method, String path, byte[] body, Consumer<Effect.Answer> then) {
-        Node node = nodes[random.nextInt(3)];
+        Node node = nodes[random.nextInt(nodes.length)];
         boolean[] over = new boolean[1];
         Consumer<Effect.Answer> once = a -> {
             if (!over[0]) {
