Users' nodes may use 2.5 times an even share of the state service; refusals say why

Excluded: the state service (no request refused), the leader (none refused there), processor time (2% of a core). Change: each node other than the leader may use 2.5 times its even share, and 8 writes at once.

--- a/src/main/java/org/beechhoist/core/Controller.java
+++ b/src/main/java/org/beechhoist/core/Controller.java
@@ -27,8 +27,13 @@
     /** Shares of the state service's limits: the leader's, and what each other node may use. */
     private static final double LEADER_SHARE = 0.55;
     private static final double LEADER_WRITES = 0.75;
+    /**
+     * Users are spread unevenly and seldom busy on all nodes at once, so each node other than the leader may use this
+     * much of an even share; the state service refuses what is too much, and that is told to the user.
+     */
+    private static final double LENT = 2.5;
     /** Submissions come in bursts: what a node may write at once after a quiet while. */
-    private static final double LEAST_BURST = 6;
+    private static final double LEAST_BURST = 8;
     private static final double SAFETY = 0.9;
     private static final Set<String> VIEWS = Set.of("/v1/plan", "/v1/hosts", "/v1/teams", "/v1/metrics");
     private static final long TELL_MS = 1000;
@@ -95,9 +100,13 @@
         writes.setRate(share(leads, LEADER_WRITES) * settings.stateLimits().writeRps(), LEAST_BURST);
     }
 
+    /** This node's share of the state service's limits. */
     private double share(boolean leads, double leaders) {
-        int others = Math.max(1, settings.nodes() - 1);
-        return SAFETY * (settings.nodes() == 1 ? 1 : leads ? leaders : (1 - leaders) / others);
+        int others = settings.nodes() - 1;
+        if (others < 1) {
+            return SAFETY;
+        }
+        return SAFETY * (leads ? leaders : Math.min(leaders, LENT * (1 - leaders) / others));
     }
 
     public void start(Tick now, long wallMs) {
--- a/src/main/java/org/beechhoist/core/UserApi.java
+++ b/src/main/java/org/beechhoist/core/UserApi.java
@@ -19,16 +19,24 @@
 import org.beechhoist.wire.JobSpec;
 import org.beechhoist.wire.Malformed;
 import org.beechhoist.wire.Revision;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /**
  * The users' interface, the same on every node: whatever is told comes from the state service, or is a final state.
  */
 final class UserApi {
+    private static final Logger LOG = LoggerFactory.getLogger(UserApi.class);
     private static final int CACHED_ENDED = 2000;
     private static final int MAX_COMMITS = 4;
     private static final int MAX_QUEUE = 400;
     private static final int MAX_RACES = 6;
 
+    private static final String TYPES = "the machine types are not known yet";
+    private static final String STORE = "the state service does not answer, or this node has used its share of it";
+    private static final String FULL = "too many submissions wait here";
+    private static final String BUSY = "this node has used its share of the state service's writes";
+
     private record Submission(long request, JobSpec spec) {
     }
 
@@ -63,8 +71,9 @@
         ended.put(ref, state);
     }
 
-    private void refuse(long request) {
-        turn.answer(request, 503, reason("the service can't take this now"));
+    private void refuse(long request, String why) {
+        LOG.debug("request {} is refused: {}", request, why);
+        turn.answer(request, 503, reason(why));
     }
 
     private static ObjectNode reason(String text) {
@@ -91,7 +100,7 @@
             return;
         }
         if (!types.known()) {
-            refuse(request);
+            refuse(request, TYPES);
             return;
         }
         String never = neverRuns(spec);
@@ -99,7 +108,7 @@
             // A job that was accepted once, when there were other machine types, is never refused later.
             read(spec.ref(), requests.tryTake(turn.now(), 1), found -> {
                 if (found == null) {
-                    refuse(request);
+                    refuse(request, STORE);
                 } else if (found.status == null) {
                     turn.answer(request, 422, reason(never));
                 } else {
@@ -109,7 +118,7 @@
             return;
         }
         if (queue.size() >= MAX_QUEUE) {
-            refuse(request);
+            refuse(request, FULL);
             return;
         }
         queue.add(new Submission(request, spec));
@@ -137,7 +146,7 @@
             room = Math.min(room, 20); // well under the size limit of a transaction
             if (room < 1 || !requests.tryTake(turn.now(), 1)) {
                 // Refused rather than held: the user is told when to come back.
-                queue.forEach(s -> refuse(s.request));
+                queue.forEach(s -> refuse(s.request, BUSY));
                 queue.clear();
                 return;
             }
@@ -176,7 +185,7 @@
                     }
                 }
             } else {
-                batch.forEach(s -> refuse(s.request));
+                batch.forEach(s -> refuse(s.request, STORE));
             }
             flush();
         });
@@ -186,7 +195,7 @@
         requests.take(turn.now(), 1);
         read(ref, true, found -> {
             if (found == null || found.status == null) {
-                refuse(request);
+                refuse(request, STORE);
             } else {
                 turn.answer(request, 200, found.status);
             }
@@ -254,7 +263,7 @@
     void status(long request, JobRef ref) {
         read(ref, requests.tryTake(turn.now(), 1), found -> {
             if (found == null) {
-                refuse(request);
+                refuse(request, STORE);
             } else if (found.status == null) {
                 turn.answer(request, 404, reason("no such job"));
             } else {
@@ -271,7 +280,7 @@
     void cancel(long request, JobRef ref, int races) {
         read(ref, requests.tryTake(turn.now(), 1), found -> {
             if (found == null || races > MAX_RACES) {
-                refuse(request);
+                refuse(request, STORE);
             } else if (found.status == null) {
                 turn.answer(request, 404, reason("no such job"));
             } else if (found.open == null) {
@@ -293,7 +302,7 @@
             switch (c.result()) {
                 case DONE -> turn.answer(request, 200, state(ref, "cancelled"));
                 case CONFLICT -> cancel(request, ref, races + 1);
-                default -> refuse(request);
+                default -> refuse(request, STORE);
             }
         });
     }
