Preemption weighs all that a victim loses; a take-over knows since when tasks run

And a new leader took every recovered task for just begun, planned its machine free a whole run too late, and rented for what would have begun in time. Change: the time since a task was placed counts as work; machines are chosen by what is lost for each task that finds room; a record keeps how many seconds after submission each task was placed (records without it are read as before).

--- a/src/main/java/org/beechhoist/core/Leader.java
+++ b/src/main/java/org/beechhoist/core/Leader.java
@@ -68,6 +68,9 @@
     private static final long DIRECT_TIMEOUT_MS = 3000;
     /** Keeps a team that has used nothing yet from outweighing all others. */
     private static final double USAGE_FLOOR = 0.05;
+    /** What a recovered task's placement and image took, and the oldest placement taken at its word. */
+    private static final long USUAL_FETCH_MS = 3000;
+    private static final long LONGEST_AGO_MS = 24L * 3600 * 1000;
     /** How long a job may wait that no objective speaks for, or none any more. */
     private static final long NO_OBJECTIVE_MS = 300_000;
     /** Clock drift of two machines and rounding, on top of a worker's lease. */
@@ -221,7 +224,9 @@
                     p.committed = true;
                     p.sent = true;
                     p.provenFrom = election.baton();
-                    p.since = turn.now();
+                    p.recovered = true;
+                    long ago = turn.wallMs() - j.record.submittedWallMs - 1000L * p.placedS;
+                    p.since = turn.now().plusMs(-Math.max(0, Math.min(ago, LONGEST_AGO_MS)));
                     p.expectedMs = estimates.lengthMs(j.spec());
                 }
                 host(p.host).placements.put(p.task, p);
@@ -793,7 +798,9 @@
             p.sentCounter = h.counter;
         }
         if (e.state() != HostReport.State.FETCHING && p.running == null) {
-            p.running = turn.now();
+            // Taken for just begun, a take-over's tasks would all seem to end a whole run later, and machines be rented.
+            Tick begun = p.since.plusMs(USUAL_FETCH_MS);
+            p.running = p.recovered && begun.before(turn.now()) ? begun : turn.now();
             j.lastProgress = turn.now();
             HostType t = provisioner.type(h.type);
             h.cached(j.spec().image(), j.spec().imageGb(), t == null ? 0 : t.cacheGb());
@@ -831,7 +838,7 @@
                     j.record.done.add(p.task.index());
                 }
                 h.failedJobs.clear();
-                if (p.running != null) {
+                if (p.running != null && !p.recovered) {
                     estimates.observed(j.spec(), turn.now().since(p.running));
                 }
             }
@@ -1269,6 +1276,7 @@
                     : j.record.nextAttempt++;
             Placement p = new Placement(id, attempt, h.id);
             p.since = turn.now();
+            p.placedS = (int) Math.max(0, Math.min(Integer.MAX_VALUE, (turn.wallMs() - j.record.submittedWallMs) / 1000));
             p.fetchMs = r.fetchMs();
             p.expectedMs = estimates.lengthMs(j.spec());
             j.record.live.put(id.index(), p);
--- a/src/main/java/org/beechhoist/core/Preemption.java
+++ b/src/main/java/org/beechhoist/core/Preemption.java
@@ -27,8 +27,11 @@
     private final Types types;
     private final Leader leader;
 
-    /** What would be stopped on one machine, and what that throws away. */
-    private record Offer(Host host, List<Placement> victims, double cost, long beginsMs) {
+    /** What would be stopped on one machine, how many tasks that makes room for, and what it throws away. */
+    private record Offer(List<Placement> victims, int tasks, double cost, long beginsMs) {
+        double costEach() {
+            return cost / tasks;
+        }
     }
 
     Preemption(Turn turn, Policy policy, Types types, Leader leader) {
@@ -95,25 +98,22 @@
             if (roomAt + LEAST_GAIN_MS > last) {
                 continue;
             }
-            List<Placement> set = victimsOn(h, j);
-            if (set != null) {
-                double cost = lost(set) + fetchCost(h, j);
-                if (cost < most) {
-                    offers.add(new Offer(h, set, cost, roomAt));
-                }
+            Offer o = offer(h, j, begins.size(), roomAt);
+            if (o != null && o.cost() < most) {
+                offers.add(o);
             }
         }
-        offers.sort(Comparator.comparingDouble(Offer::cost));
+        offers.sort(Comparator.comparingDouble(Offer::costEach));
         List<Long> waiting = new ArrayList<>(begins);
         waiting.sort(Comparator.reverseOrder());
         int served = 0;
         for (Offer o : offers) {
-            if (served == waiting.size()) {
+            if (served >= waiting.size()) {
                 break;
             }
             if (o.beginsMs() + LEAST_GAIN_MS <= waiting.get(served)) {
                 o.victims().forEach(v -> leader.makeRoom(v, j));
-                served++;
+                served += o.tasks();
             }
         }
         return served > 0;
@@ -126,11 +126,12 @@
         return turn.now().ms() + SOON_MS / 2 + fetch;
     }
 
-    /** The tasks to stop so that one of the job's fits on the host, youngest first; null where that can't be. */
-    private List<Placement> victimsOn(Host h, Job j) {
+    /** The tasks to stop so that the job's fit on the host, youngest first; null where that can't be. */
+    private Offer offer(Host h, Job j, int waiting, long beginsMs) {
+        JobSpec s = j.spec();
         HostType t = types.get(h.type);
-        Leader.Room room = j.spec().mayRunOn(t, h.zone, h.spot) ? leader.roomBeside(h, t, j.spec()) : null;
-        if (room == null) {
+        Leader.Room room = s.mayRunOn(t, h.zone, h.spot) ? leader.roomBeside(h, t, s) : null;
+        if (room == null || room.enough()) {
             return null;
         }
         List<Placement> lower = new ArrayList<>();
@@ -139,7 +140,7 @@
                 lower.add(p);
             }
         }
-        lower.sort(Comparator.comparing((Placement p) -> p.running == null ? turn.now() : p.running).reversed());
+        lower.sort(Comparator.comparing((Placement p) -> p.since).reversed());
         List<Placement> out = new ArrayList<>();
         for (Placement p : lower) {
             if (room.enough()) {
@@ -148,7 +149,16 @@
             room = room.plus(leader.job(p.task.job()).spec(), 1);
             out.add(p);
         }
-        return out.isEmpty() || !room.enough() ? null : out;
+        if (!room.enough()) {
+            return null;
+        }
+        // One large task stopped makes room for several small ones; taken for one each, a job of thirty small tasks
+        // once had thirty large ones stopped.
+        int tasks = 1;
+        for (Leader.Room more = room.plus(s, -1); tasks < waiting && more.enough(); more = more.plus(s, -1)) {
+            tasks++;
+        }
+        return new Offer(out, tasks, lost(out) + fetchCost(h, j), beginsMs);
     }
 
     /** CPU seconds of work that stopping them throws away. */
@@ -156,7 +166,8 @@
         double sum = 0;
         for (Placement p : set) {
             JobSpec s = leader.job(p.task.job()).spec();
-            double ran = p.running == null ? 0 : turn.now().since(p.running) / 1000.0;
+            // The time it waited for its image has held its share of the machine too.
+            double ran = turn.now().since(p.since) / 1000.0;
             double kept = s.checkpointS() > 0 ? Math.min(ran, s.checkpointS()) : ran;
             sum += (1 + kept) * s.cpus();
         }
--- a/src/main/java/org/beechhoist/store/JobRecord.java
+++ b/src/main/java/org/beechhoist/store/JobRecord.java
@@ -23,7 +23,7 @@
 public final class JobRecord {
     public static final String OPEN = "jo/";
     public static final String ENDED = "je/";
-    /** At most this many tasks live in the record itself: about 26 bytes each. */
+    /** At most this many tasks live in the record itself: about 29 bytes each. */
     private static final int INLINE_TASKS = 100;
     private static final int CHUNK_TASKS = 200;
     /**
@@ -36,7 +36,11 @@
     public static final int LEAST_VALUE_KB = 8;
     public static final int LEAST_TXN_OPS = 16;
 
+    /** Fields of a live task; records of the first version had three, without the time. */
+    private static final int STRIDE = 4;
+
     public final JobSpec spec;
+    private int stride = STRIDE;
     public final long submittedWallMs;
     /** Attempts come from here and only grow, whatever the task. */
     public long nextAttempt = 1;
@@ -80,7 +84,7 @@
     public ObjectNode toNode() {
         ObjectNode n = Codec.map();
         n.set("spec", spec.toNode());
-        n.put("at", submittedWallMs).put("next", nextAttempt).put("running", live.size());
+        n.put("at", submittedWallMs).put("stride", STRIDE).put("next", nextAttempt).put("running", live.size());
         n.set("done", done.toNode());
         if (cancelled()) {
             n.put("cancel", cancelWallMs);
@@ -107,7 +111,7 @@
     }
 
     private static void add(ArrayNode list, Placement p) {
-        list.add(p.task.index()).add(p.attempt).add(p.host.text());
+        list.add(p.task.index()).add(p.attempt).add(p.host.text()).add(p.placedS);
     }
 
     public ObjectNode endedNode(String state) {
@@ -119,6 +123,7 @@
             throw new Malformed("not a job record");
         }
         JobRecord r = new JobRecord(JobSpec.parse(n.get("spec")), n.path("at").longValue());
+        r.stride = (int) (Codec.absent(n, "stride") ? 3 : Codec.count(n, "stride", 3, 16));
         r.nextAttempt = Codec.count(n, "next", 1, Long.MAX_VALUE);
         r.done = IntervalSet.parse(n.get("done"));
         r.cancelWallMs = n.path("cancel").longValue();
@@ -132,12 +137,14 @@
 
     /** Adds the live tasks of a chunk. */
     public void addLive(JsonNode list) throws Malformed {
-        if (!list.isArray() || list.size() % 3 != 0) {
+        if (!list.isArray() || list.size() % stride != 0) {
             throw new Malformed("live tasks expected");
         }
-        for (int i = 0; i < list.size(); i += 3) {
+        for (int i = 0; i < list.size(); i += stride) {
             TaskId id = new TaskId(spec.ref(), list.get(i).intValue());
-            live.put(id.index(), new Placement(id, list.get(i + 1).longValue(), new HostId(list.get(i + 2).textValue())));
+            Placement p = new Placement(id, list.get(i + 1).longValue(), new HostId(list.get(i + 2).textValue()));
+            p.placedS = stride > 3 ? list.get(i + 3).intValue() : 0;
+            live.put(id.index(), p);
         }
     }
 
--- a/src/main/java/org/beechhoist/store/Placement.java
+++ b/src/main/java/org/beechhoist/store/Placement.java
@@ -24,6 +24,10 @@
     public long sentShift;
     public long sentCounter;
     public Tick since = Tick.ZERO;
+    /** Seconds from the job's submission to this placement, by the time of day: a later leader's guess of {@link #since}. */
+    public int placedS;
+    /** Taken from the record: when it began to run is not known, only about when it was placed. */
+    public boolean recovered;
     /** When a report first showed it running; null before. */
     public Tick running;
     public boolean killSent;
