--- a/src/main/java/org/beechhoist/core/Leader.java
+++ b/src/main/java/org/beechhoist/core/Leader.java
@@ -1144,6 +1144,10 @@
         return out;
     }
 
+    long lengthMs(Job j) {
+        return estimates.lengthMs(j.spec());
+    }
+
     /** When the job's waiting tasks should begin, for the first of its objectives that can still be met. */
     long latestStart(Job j) {
         long length = estimates.lengthMs(j.spec());
--- a/src/main/java/org/beechhoist/core/Provisioner.java
+++ b/src/main/java/org/beechhoist/core/Provisioner.java
@@ -4,6 +4,7 @@
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.Collections;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -20,7 +21,6 @@
 import org.beechhoist.wire.Codec;
 import org.beechhoist.wire.HostId;
 import org.beechhoist.wire.HostType;
-import org.beechhoist.wire.JobRef;
 import org.beechhoist.wire.JobSpec;
 import org.beechhoist.wire.Tick;
 import org.slf4j.Logger;
@@ -33,8 +33,9 @@
     private static final int MAX_RETURN = 100;
     private static final long EVERY_MS = 1000;
     private static final long NO_CAPACITY_PAUSE_MS = 20_000;
-    /** Tasks that begin sooner than this are not rented for, and at most so many of a job beyond the plan. */
-    private static final long LATE_MS = 10_000;
+    /** How late a task may begin before a machine is rented, by its slack; and how many of a job beyond the plan count. */
+    private static final long LEAST_LATE_MS = 5000;
+    private static final long LATE_MS = 45_000;
     private static final int MAX_UNPLACED = 500;
     /** A rental must gain at least this much for some task. */
     private static final long WORTH_MS = 5000;
@@ -146,6 +147,10 @@
         nextTurn = turn.now();
     }
 
+    Collection<HostType> types() {
+        return types.all();
+    }
+
     HostType type(String name) {
         return types.get(name);
     }
@@ -361,18 +366,33 @@
                 spaces.add(new Space(o));
             }
         }
-        Map<JobRef, List<Long>> late = new LinkedHashMap<>();
-        for (Plan.Reservation r : plan.reservations()) {
-            if (r.beginMs() - now >= LATE_MS) {
-                late.computeIfAbsent(r.job(), k -> new ArrayList<>()).add(r.beginMs());
+        // Room on machines that boot counts, as far as this plan has not given it away.
+        Map<HostId, Space> booting = new LinkedHashMap<>();
+        for (Host h : leader.hosts.values()) {
+            if (!h.up && !h.returning && h.known() && !h.listedUp) {
+                HostType t = types.get(h.type);
+                if (t != null) {
+                    booting.put(h.id, new Space(new Offer(t, h.zone, h.spot)));
+                }
             }
         }
-        late.forEach((ref, begins) -> {
-            Job j = leader.job(ref);
-            if (j != null) {
-                want(j, begins, all, spaces);
+        Map<Job, Long> rentAfter = new HashMap<>();
+        Map<Job, List<Long>> late = new LinkedHashMap<>();
+        for (Plan.Reservation r : plan.reservations()) {
+            Job j = leader.job(r.job());
+            long begin = j == null ? now : r.beginMs();
+            if (!r.hostUp()) {
+                Space space = booting.get(r.host());
+                if (space != null) {
+                    space.take(r.spec());
+                }
             }
-        });
+            if (j != null && begin - now >= rentAfter.computeIfAbsent(j, this::rentAfterMs)) {
+                late.computeIfAbsent(j, k -> new ArrayList<>()).add(begin);
+            }
+        }
+        spaces.addAll(booting.values());
+        late.forEach((j, begins) -> want(j, begins, all, spaces));
         for (Job j : leader.jobs()) {
             int unplaced = j.record.cancelled() || !j.notBefore.before(turn.now()) ? 0 : plan.unplaced(j.ref());
             if (unplaced > 0) {
@@ -388,6 +408,16 @@
         }
     }
 
+    /**
+     * How long a task may wait before a machine is rented for its like: a share of its slack. Even if it begins before
+     * that machine is up, others wait behind it; rented for only when that gained something for the task itself, the
+     * machines were always busy and every task waited about as long as one takes to boot.
+     */
+    private long rentAfterMs(Job j) {
+        double share = policy.patience() * Math.max(0, leader.latestStart(j) - turn.now().ms());
+        return Math.max(LEAST_LATE_MS, Math.min(LATE_MS, Math.round(share)));
+    }
+
     /** A spot machine is worth renting to begin sooner; an ordinary one only where an objective is at stake. */
     private void want(Job j, List<Long> begins, List<Offer> all, List<Space> spaces) {
         JobSpec s = j.spec();
@@ -406,7 +436,7 @@
             Offer best = null;
             for (Offer o : all) {
                 boolean allowed = o.spot || begin > latest || !s.spot();
-                if (allowed && o.refusedUntil.before(turn.now()) && worth(o, s, begin) && o.suits(s)
+                if (allowed && o.refusedUntil.before(turn.now()) && worth(o, j, begin) && o.suits(s)
                         && (best == null || cheaper(o, best))) {
                     best = o;
                 }
@@ -421,9 +451,12 @@
         }
     }
 
-    private boolean worth(Offer o, JobSpec s, long beginMs) {
-        return turn.now().ms() + Math.round(1000 * (o.type.startupS() + s.imageGb() / o.type.fetchGbPerS())) + WORTH_MS
-                <= beginMs;
+    private boolean worth(Offer o, Job j, long beginMs) {
+        long ready = turn.now().ms() + Math.round(1000 * (o.type.startupS() + j.spec().imageGb() / o.type.fetchGbPerS()));
+        if (beginMs == Long.MAX_VALUE || ready + WORTH_MS <= beginMs) {
+            return true;
+        }
+        return o.spot && ready <= beginMs + leader.lengthMs(j);
     }
 
     private static boolean cheaper(Offer o, Offer than) {
