--- a/src/test/java/org/beechhoist/sim/SimulationTest.java
+++ b/src/test/java/org/beechhoist/sim/SimulationTest.java
@@ -104,7 +104,7 @@
     void aLargeRegionIsServed(int nodes) {
         World w = new World(nodes, new World.Scale(nodes, 300, 6000, 500));
         long arrivals = 110_000;
-        for (int i = 0; i < 70; i++) {
+        for (int i = 0; i < 100; i++) {
             w.later(i * 20L, () -> arriveLarge(w));
         }
         w.every(900, () -> {
@@ -134,7 +134,7 @@
         w.runUntil(60_000);
         int most = w.machinesUp();
         w.runUntil(arrivals + 200_000);
-        String did = most + " machines, " + w.started + " starts, " + w.counted.summary();
+        String did = w.accepted() + " jobs, " + most + " machines, " + w.started + " starts, " + w.counted.summary();
         assertEquals(List.of(), w.unfinished());
         assertTrue(most > 1000 && w.started >= 6000, did);
         // A job's life is a put for its submission, some for its launches and ends, two for its own end. Watches of a
