--- a/src/main/java/org/beechhoist/standin/StateService.java
+++ b/src/main/java/org/beechhoist/standin/StateService.java
@@ -185,7 +185,7 @@
 
     private void watch(long nowMs, Map<String, String> query, Consumer<Reply> then) {
         long after = Long.parseLong(query.getOrDefault("after", "0"));
-        if (!log.isEmpty() && log.size() >= KEPT_CHANGES * 9 / 10 && log.get(0).version > after + 1) {
+        if (!log.isEmpty() && log.size() >= kept * 9 / 10 && log.get(0).version > after + 1) {
             then.accept(Reply.error(410, "too old"));
             return;
         }
--- a/src/test/java/org/beechhoist/sim/SimulationTest.java
+++ b/src/test/java/org/beechhoist/sim/SimulationTest.java
@@ -94,6 +94,26 @@
         }
     }
 
+    /**
+     * Once the store has forgotten the change that made the leader, the other nodes' watch of it must not spin: it was
+     * answered 410 at once, read the key's old version again, and so on without a pause.
+     */
+    @Test
+    void watchingAnOldLeaderCostsLittle() {
+        World w = new World(12, new World.Scale(3, 4, 3000, 0, 400));
+        w.every(400, () -> {
+            if (w.now < 100_000) {
+                w.submit("fast", false, 1, 1, 2, n -> n.put("owner", "blue").put("urgency", "normal").put("loaner", true));
+            }
+        });
+        w.runUntil(100_000);
+        long before = w.counted.storeRequests;
+        assertTrue(w.counted.puts > 600, w.counted.puts + " puts");
+        w.runUntil(160_000);
+        long quiet = w.counted.storeRequests - before;
+        assertTrue(quiet < 600, quiet + " requests in a quiet minute");
+    }
+
     /**
      * Over a thousand machines and thousands of waiting tasks: the rules hold through the troubles, the work is done,
      * and what the controllers ask of others stays in proportion. Once a plan looked at 500 tasks at most and rented
@@ -102,7 +122,7 @@
     @ParameterizedTest
     @ValueSource(ints = {5, 7})
     void aLargeRegionIsServed(int nodes) {
-        World w = new World(nodes, new World.Scale(nodes, 300, 6000, 500));
+        World w = new World(nodes, new World.Scale(nodes, 300, 6000, 500, 10_000));
         long arrivals = 110_000;
         for (int i = 0; i < 100; i++) {
             w.later(i * 20L, () -> arriveLarge(w));
--- a/src/test/java/org/beechhoist/sim/World.java
+++ b/src/test/java/org/beechhoist/sim/World.java
@@ -81,8 +81,8 @@
      * How large a world is. With many machines the rules that need a look at all of them are checked every
      * {@code checkMs} only; those about a task's start are checked at each start.
      */
-    record Scale(int nodes, int perKind, long reportMs, long checkMs) {
-        static final Scale SMALL = new Scale(3, 4, 3000, 0);
+    record Scale(int nodes, int perKind, long reportMs, long checkMs, int keptChanges) {
+        static final Scale SMALL = new Scale(3, 4, 3000, 0, StateService.KEPT_CHANGES);
     }
 
     /** Work that the controllers had others do, counted so that a bound on it gives the same verdict every time. */
@@ -239,8 +239,7 @@
     final Counted counted = new Counted();
     private long nextCheck;
     private final long[] wallOff;
-    /** It forgets changes sooner than the protocol has it, so that watches are told so on every larger day. */
-    private final StateService state = new StateService(16, 8192, 400);
+    private final StateService state;
     private final Cloud cloud;
     private final Node[] nodes;
     private final Map<String, Machine> machines = new LinkedHashMap<>();
@@ -265,6 +264,7 @@
     World(long seed, Scale scale) {
         this.seed = seed;
         this.scale = scale;
+        this.state = new StateService(16, 8192, scale.keptChanges);
         this.random = new SplittableRandom(seed);
         this.nodes = new Node[scale.nodes];
         this.wallOff = new long[scale.nodes];
