One spelling of an offer's key; a method that nothing calls is gone

Provisioner wrote the key of a kind of machine in two places, and kept types(), left over from a try that was reverted. No change in behaviour; the project's checks pass.

--- a/src/main/java/org/beechhoist/core/Provisioner.java
+++ b/src/main/java/org/beechhoist/core/Provisioner.java
@@ -4,7 +4,6 @@
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.util.ArrayList;
-import java.util.Collection;
 import java.util.Collections;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -63,6 +62,11 @@
             this.spot = spot;
         }
 
+        /** The same for offers of one kind whose prices differ. */
+        String key() {
+            return type.name() + "/" + zone + "/" + spot;
+        }
+
         double costPerCpu() {
             return type.priceOf(spot) / Math.max(0.01, type.cpus());
         }
@@ -147,10 +151,6 @@
         nextTurn = turn.now();
     }
 
-    Collection<HostType> types() {
-        return types.all();
-    }
-
     HostType type(String name) {
         return types.get(name);
     }
@@ -338,15 +338,14 @@
         for (HostType t : types.all()) {
             for (String zone : t.zones()) {
                 for (boolean spot : new boolean[] {true, false}) {
-                    String key = t.name() + "/" + zone + "/" + spot;
-                    Offer old = offers.get(key);
+                    Offer o = new Offer(t, zone, spot);
+                    Offer old = offers.get(o.key());
                     if (old == null || old.type != t) { // prices move
-                        Offer o = new Offer(t, zone, spot);
                         if (old != null) {
                             o.renting = old.renting;
                             o.refusedUntil = old.refusedUntil;
                         }
-                        offers.put(key, o);
+                        offers.put(o.key(), o);
                         old = o;
                     }
                     old.wanted = 0;
@@ -478,7 +477,7 @@
             if (r != reign) {
                 return;
             }
-            Offer offer = offers.get(asked.type.name() + "/" + asked.zone + "/" + asked.spot);
+            Offer offer = offers.get(asked.key());
             if (o.ok() && o.body().path("hosts").isArray()) {
                 offer.renting -= number;
                 lastRented = turn.now();
