--- a/src/main/java/org/beechhoist/cli/Warm.java
+++ b/src/main/java/org/beechhoist/cli/Warm.java
@@ -12,12 +12,14 @@
 import org.beechhoist.metrics.Metrics;
 import org.beechhoist.net.HttpClient;
 import org.beechhoist.net.Loop;
+import org.beechhoist.peer.JobCount;
 import org.beechhoist.peer.PeerCodec;
 import org.beechhoist.peer.PeerState;
 import org.beechhoist.standin.StateService;
 import org.beechhoist.wire.Baton;
 import org.beechhoist.wire.Calls;
 import org.beechhoist.wire.Codec;
+import org.beechhoist.wire.JobRef;
 import org.beechhoist.wire.Outcome;
 import org.beechhoist.wire.Tick;
 import picocli.CommandLine;
@@ -37,7 +39,7 @@
     public Integer call() throws Exception {
         Settings settings = Settings.load(config);
         PeerCodec peers = new PeerCodec();
-        peers.decode(peers.encode(new PeerState("warm", false, Baton.NONE, 0, false)));
+        peers.decode(peers.encode(new PeerState("warm", false, Baton.NONE, 0, false, 0, 0, List.of(new JobCount(new JobRef("job-1"), 1, 1)))));
         new HttpClient(new Loop(), "", 1);
         Controller core = new Controller(settings, Policy.DEFAULT, new Metrics(), 1);
         StateService state = new StateService(settings.stateLimits().txnOps(), settings.stateLimits().valueBytes());
--- a/src/main/java/org/beechhoist/config/Settings.java
+++ b/src/main/java/org/beechhoist/config/Settings.java
@@ -11,13 +11,19 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import org.beechhoist.store.JobRecord;
+import org.beechhoist.store.Sizes;
 
 /** The platform's settings file, checked. */
 public record Settings(String node, String zone, InetSocketAddress publicAddress, InetSocketAddress internalAddress,
         Map<String, Seed> seeds, InetSocketAddress cloud, InetSocketAddress state, int nodes, List<String> zones,
         double clockErrorMs, Map<String, Team> teams, List<Objective> objectives, Workers workers, State stateLimits,
         Cloud cloudLimits, int maxSockets) {
+    /** Below these a node serves, but not as usual. */
+    private static final double FEW_WRITES = 10;
+    private static final double FEW_REQUESTS = 30;
+    private static final double FEW_CALLS = 1;
+    private static final double FEW_SOCKETS = 100;
+    private static final double LEAST_REPORTS_A_LEASE = 2.5;
 
     /** Another controller. */
     public record Seed(String node, String zone, InetSocketAddress address) {
@@ -57,6 +63,39 @@
         }
     }
 
+    /** What these limits keep from being served as usual, a line each, for the operator; the node goes on with what it can. */
+    public List<String> warnings() {
+        List<String> out = new ArrayList<>();
+        String small = Sizes.tooSmall(stateLimits.valueBytes(), stateLimits.txnOps());
+        if (small != null) {
+            out.add(small);
+        }
+        if (stateLimits.writeRps() < FEW_WRITES) {
+            out.add(few("state.write_rps", stateLimits.writeRps(), FEW_WRITES, "a job costs about 4 changes, and more wait their turn"));
+        }
+        if (stateLimits.rps() < FEW_REQUESTS) {
+            out.add(few("state.rps", stateLimits.rps(), FEW_REQUESTS, "users' questions are refused in turn"));
+        }
+        if (cloudLimits.rps() < FEW_CALLS) {
+            out.add(few("cloud.rps", cloudLimits.rps(), FEW_CALLS, "machines are rented and returned late"));
+        }
+        if (workers.leaseS() < LEAST_REPORTS_A_LEASE * workers.reportS()) {
+            out.add(few("workers.lease_s", workers.leaseS(), LEAST_REPORTS_A_LEASE * workers.reportS(),
+                    "one late report may end a worker's tasks"));
+        }
+        if (nodes < 3) {
+            out.add(few("nodes", nodes, 3, "nothing covers for a node that is down"));
+        }
+        if (maxSockets < FEW_SOCKETS) {
+            out.add(few("quota.max_sockets", maxSockets, FEW_SOCKETS, "connections are closed after each answer"));
+        }
+        return out;
+    }
+
+    private static String few(String field, double value, double least, String what) {
+        return "deployment." + field + " = " + Section.plain(value) + " is below " + Section.plain(least) + ": " + what;
+    }
+
     public static Settings load(Path file) throws Bad {
         String text;
         try {
@@ -109,7 +148,7 @@
                 new Workers(w.number("report_s", 0.1, 3600, null), w.number("lease_s", 1, 86400, null),
                         w.number("cancel_s", 1, 86400, null)),
                 new State(s.number("rps", 1, 1e9, null), s.number("write_rps", 1, 1e9, null),
-                        (int) (1024 * s.number("value_kb", JobRecord.LEAST_VALUE_KB, 1024, null)), (int) s.number("txn_ops", JobRecord.LEAST_TXN_OPS, 1e6, null)),
+                        (int) (1024 * s.number("value_kb", 1, 1024, null)), (int) s.number("txn_ops", 4, 1e6, null)),
                 new Cloud(c.number("rps", 0.1, 1e9, null), c.number("list_lag_s", 0, 3600, null)),
                 (int) q.number("max_sockets", 16, 1e9, 1024.0));
     }
@@ -179,7 +218,7 @@
             return n.doubleValue();
         }
 
-        private static String plain(double d) {
+        static String plain(double d) {
             return d == Math.rint(d) ? Long.toString((long) d) : Double.toString(d);
         }
 
--- a/src/main/java/org/beechhoist/core/Book.java
+++ b/src/main/java/org/beechhoist/core/Book.java
@@ -1,6 +1,7 @@
 package org.beechhoist.core;
 
 import java.util.Collection;
+import java.util.Collections;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
@@ -18,6 +19,8 @@
     private static final double LEASE_SLACK = 1.002;
     private static final long LEASE_MARGIN_MS = 1000;
 
+    private static final int REMEMBERED_ENDED = 2000;
+
     private final Turn turn;
     private final Settings settings;
     private final Map<JobRef, Job> jobs = new LinkedHashMap<>();
@@ -26,6 +29,12 @@
     private final Set<Job> dirty = new LinkedHashSet<>();
     /** CPU milliseconds that each team has used, by this leadership's knowledge. */
     private final Map<String, Double> teamCpuMs = new HashMap<>();
+    private final Set<JobRef> ended = Collections.newSetFromMap(new LinkedHashMap<>() {
+        @Override
+        protected boolean removeEldestEntry(Map.Entry<JobRef, Boolean> eldest) {
+            return size() > REMEMBERED_ENDED;
+        }
+    });
     private Tick wonAt = Tick.ZERO;
     private long reign;
     private boolean changed;
@@ -45,6 +54,11 @@
         teamCpuMs.clear();
     }
 
+    /** When this leadership began. */
+    Tick wonAt() {
+        return wonAt;
+    }
+
     /** Changes with leadership; answers to calls of an earlier one are left alone. */
     long reign() {
         return reign;
@@ -68,6 +82,16 @@
         jobs.remove(j.ref());
     }
 
+    /** The job's final state is committed: what the watch still brings of it is old. */
+    void ended(Job j) {
+        remove(j);
+        ended.add(j.ref());
+    }
+
+    boolean hasEnded(JobRef ref) {
+        return ended.contains(ref);
+    }
+
     /** Forgets all jobs and what was to be written of them, for they are read anew; hands over what was known. */
     Map<JobRef, Job> dropJobs() {
         Map<JobRef, Job> old = new HashMap<>(jobs);
--- a/src/main/java/org/beechhoist/core/Committer.java
+++ b/src/main/java/org/beechhoist/core/Committer.java
@@ -1,15 +1,12 @@
 package org.beechhoist.core;
 
 import com.fasterxml.jackson.databind.JsonNode;
-import com.fasterxml.jackson.databind.node.ArrayNode;
 import java.util.ArrayList;
 import java.util.Comparator;
-import java.util.HashMap;
 import java.util.List;
-import java.util.Map;
+import java.util.function.BooleanSupplier;
 import org.beechhoist.config.Settings;
 import org.beechhoist.store.Budget;
-import org.beechhoist.store.JobRecord;
 import org.beechhoist.store.Placement;
 import org.beechhoist.store.StoreClient;
 import org.beechhoist.store.StoreClient.Commit;
@@ -31,6 +28,19 @@
     private static final double USERS_WRITES = 4;
     private static final long ROTATE_EVERY_MS = 2000;
     private static final long STARVED_MS = 1000;
+    /** On a state service with few writes, the users' part of them is a share. */
+    private static final double USERS_SHARE = 0.15;
+    /** Writes are to spare where this much of a full budget is left. */
+    private static final double PLENTY = 0.8;
+    /** Segments of the log that a full second's writes are thought to be at most; the rest is for records and ends. */
+    private static final double LOG_SHARE = 4;
+    private static final long LONGEST_PACE_MS = 400;
+    private static final long FOLD_EVERY_MS = 1000;
+    /** A job that is younger will have ended before long, and is never written for the log's sake. */
+    private static final long FOLD_AGE_MS = 60_000;
+    private static final int MOST_RECORDS = 2;
+    private static final int MOST_GATHERED = 100;
+    private static final int GATHERED_SEGMENTS = 2;
 
     /** What may follow only once it is written. */
     interface Listener {
@@ -52,14 +62,18 @@
     private final Budget writes;
     private final Book book;
     private final Loading loading;
+    private final TaskLog log;
+    private final BooleanSupplier logAllowed;
     private final Listener listener;
+    private Tick nextFold = Tick.ZERO;
     private boolean commitInFlight;
     private boolean rotateWanted;
     private Tick nextRotation = Tick.ZERO;
     private Tick nextCommit = Tick.ZERO;
 
+    /** @param logAllowed whether every node that may lead reads the log */
     Committer(Turn turn, Settings settings, StoreClient store, Election election, Budget requests, Budget writes,
-            Book book, Loading loading, Listener listener) {
+            Book book, Loading loading, TaskLog log, BooleanSupplier logAllowed, Listener listener) {
         this.turn = turn;
         this.settings = settings;
         this.store = store;
@@ -68,6 +82,8 @@
         this.writes = writes;
         this.book = book;
         this.loading = loading;
+        this.log = log;
+        this.logAllowed = logAllowed;
         this.listener = listener;
     }
 
@@ -86,67 +102,38 @@
         if (!loading.active() || commitInFlight || turn.now().before(nextCommit)) {
             return;
         }
-        Txn txn = election.guarded();
         // Each new baton makes every worker report once more, so that many lost orders share one.
         boolean rotating = rotateWanted && !turn.now().before(nextRotation);
+        boolean foldDue = log.segments() > 0 && !turn.now().before(nextFold);
+        if (book.dirty().isEmpty() && !rotating && !foldDue) {
+            return;
+        }
+        double budget = writes.available(turn.now()) - Math.min(USERS_WRITES, USERS_SHARE * writes.most());
+        Txn txn = election.guarded();
         if (rotating) {
             election.rotateIn(txn);
         }
-        double budget = writes.available(turn.now()) - USERS_WRITES;
-        int most = (int) Math.min(settings.stateLimits().txnOps(), Math.floor(budget));
-        if (most < 1) {
+        Batch batch = new Batch(txn, settings.stateLimits(), log, (int) Math.floor(budget));
+        if (budget < 1) {
             return;
         }
-        boolean spare = budget > KEPT_WRITES * writes.rate();
-        int bytes = 0;
-        List<Job> batch = new ArrayList<>();
-        List<Placement> placed = new ArrayList<>();
-        List<Job> ended = new ArrayList<>();
-        Map<Job, Map<String, ArrayNode>> chunks = new HashMap<>();
-        record Due(Job job, int rank) {
-        }
-        List<Due> due = new ArrayList<>();
-        for (Job j : book.dirty()) {
-            int rank = commitRank(j);
-            // A finished task frees its machine without this: the worker's report proves it, to a later leader too.
-            if (rank < GATHERED || (spare && turn.now().since(j.dirtySince) >= GATHER_MS)) {
-                due.add(new Due(j, rank));
-            }
-        }
-        due.sort(Comparator.comparingInt(Due::rank).thenComparing(d -> d.job.dirtySince));
-        for (Due d : due) {
-            Job j = d.job;
-            Map<String, ArrayNode> now = j.record.chunks();
-            boolean ends = ends(j);
-            int ops = 1 + (ends ? 1 : 0) + changedChunks(j, now);
-            int size = 2500 + 30 * 200 * changedChunks(j, now) + (j.record.chunked() ? 0 : 40 * j.record.live.size());
-            if (txn.ops() + ops > most || (bytes > 0 && bytes + size > 40_000)) {
-                if (d.rank < GATHERED && turn.now().since(j.dirtySince) > STARVED_MS) {
-                    break; // let the budget fill up for it instead of spending it on smaller ones for ever
-                }
-                continue;
-            }
-            bytes += size;
-            addTo(txn, j, now, ends);
-            batch.add(j);
-            chunks.put(j, now);
-            if (ends) {
-                ended.add(j);
-            }
-            for (Placement p : j.record.live.values()) {
-                if (!p.committed) {
-                    placed.add(p);
-                }
-            }
-            book.sent(j);
+        gather(batch, budget > KEPT_WRITES * writes.rate());
+        if (foldDue) {
+            fold(batch, budget > PLENTY * writes.most());
         }
-        if (txn.ops() == 0) {
+        if (batch.isEmpty()) {
             return;
         }
         if (rotating) {
             rotateWanted = false;
             nextRotation = turn.now().plusMs(ROTATE_EVERY_MS);
         }
+        List<Placement> placed = batch.placed();
+        batch.close();
+        if (batch.logged() > 0 && budget < PLENTY * writes.most()) {
+            // What comes next shares a segment with what comes a moment later.
+            nextCommit = turn.now().plusMs(Math.min(LONGEST_PACE_MS, Math.round(1000 * LOG_SHARE / writes.rate())));
+        }
         commitInFlight = true;
         requests.take(turn.now(), 1);
         writes.take(turn.now(), txn.ops());
@@ -158,7 +145,7 @@
             }
             commitInFlight = false;
             if (e == loading.epoch()) {
-                committed(c, rotating, batch, placed, ended, chunks);
+                committed(c, rotating, batch, placed);
             } else {
                 // The book was read anew meanwhile, perhaps without this commit: make sure of its fate. Left alone,
                 // it would be taken for one that never ends, and nothing would be written any more.
@@ -167,12 +154,82 @@
         });
     }
 
-    private static boolean ends(Job j) {
-        return j.record.live.isEmpty() && (j.record.cancelled() || j.record.complete());
+    private record Due(Job job, int rank) {
     }
 
-    private static String state(Job j) {
-        return j.record.cancelled() ? "cancelled" : "done";
+    /** Takes in what is due, the most urgent first, and of the rest what costs no more. */
+    private void gather(Batch batch, boolean spare) {
+        List<Due> due = new ArrayList<>();
+        List<Job> rest = new ArrayList<>();
+        for (Job j : new ArrayList<>(book.dirty())) {
+            if (way(j) == Batch.Way.LOG && j.stored.until(j.record).isEmpty()) {
+                book.sent(j); // it was touched, and is as the state service holds it
+                j.inFlight = false;
+                continue;
+            }
+            int rank = commitRank(j);
+            // A finished task frees its machine without this: the worker's report proves it, to a later leader too.
+            if (rank < GATHERED || (spare && turn.now().since(j.dirtySince) >= GATHER_MS)) {
+                due.add(new Due(j, rank));
+            } else {
+                rest.add(j);
+            }
+        }
+        due.sort(Comparator.comparingInt(Due::rank).thenComparing(d -> d.job.dirtySince));
+        for (Due d : due) {
+            if (!take(batch, d.job) && d.rank < GATHERED && turn.now().since(d.job.dirtySince) > STARVED_MS) {
+                break; // let the budget fill up for it instead of spending it on smaller ones for ever
+            }
+        }
+        for (Job j : rest) {
+            if (way(j) == Batch.Way.LOG && batch.free(j)) {
+                take(batch, j);
+            }
+        }
+    }
+
+    private boolean take(Batch batch, Job j) {
+        boolean taken = batch.take(j, way(j));
+        if (taken) {
+            book.sent(j);
+        }
+        return taken;
+    }
+
+    private Batch.Way way(Job j) {
+        return ends(j) ? Batch.Way.END
+                : !logAllowed.getAsBoolean() || j.width() != j.committedWidth || j.record.failures != j.storedFailures
+                ? Batch.Way.RECORD : Batch.Way.LOG;
+    }
+
+    /**
+     * Keeps the log short. Where it is long, what the oldest segments say of jobs that are still open is gathered in new
+     * ones, a segment or two each time; where writes are to spare, a job that has been open for long has its record written.
+     */
+    private void fold(Batch batch, boolean plenty) {
+        nextFold = turn.now().plusMs(FOLD_EVERY_MS);
+        boolean gather = log.crowded() && logAllowed.getAsBoolean();
+        if (!gather && !plenty) {
+            return;
+        }
+        int before = batch.logged();
+        int records = 0;
+        for (JobRef ref : log.oldest(gather ? MOST_GATHERED : MOST_RECORDS)) {
+            Job j = book.job(ref);
+            if (j == null || j.inFlight || ends(j) || (!gather && turn.now().since(j.submitted) < FOLD_AGE_MS)) {
+                continue;
+            }
+            if (batch.logged() - before > GATHERED_SEGMENTS || records == MOST_RECORDS
+                    || !batch.take(j, gather ? Batch.Way.GATHER : Batch.Way.RECORD)) {
+                return;
+            }
+            book.sent(j);
+            records += gather ? 0 : 1;
+        }
+    }
+
+    private static boolean ends(Job j) {
+        return j.record.live.isEmpty() && (j.record.cancelled() || j.record.complete());
     }
 
     /** Jobs that have ended come first, for their users wait; then launches, the more urgent before; then ended tasks. */
@@ -183,56 +240,38 @@
         return j.uncommitted > 0 || j.width() < j.committedWidth ? 1 + j.spec().urgency().ordinal() : GATHERED;
     }
 
-    private static int changedChunks(Job j, Map<String, ArrayNode> now) {
-        int n = 0;
-        for (Map.Entry<String, ArrayNode> c : now.entrySet()) {
-            n += c.getValue().equals(j.chunks.get(c.getKey())) ? 0 : 1;
-        }
-        for (String key : j.chunks.keySet()) {
-            n += now.containsKey(key) ? 0 : 1;
-        }
-        return n;
+    /** Jobs that wait to be written, for whoever shares out the state service's limits. */
+    int backlog() {
+        return loading.active() ? book.dirty().size() : 0;
     }
 
-    private void addTo(Txn txn, Job j, Map<String, ArrayNode> now, boolean ends) {
-        String key = JobRecord.openKey(j.ref());
-        j.sentWidth = j.width();
-        txn.guard(key, j.version);
-        now.forEach((k, v) -> {
-            if (!v.equals(j.chunks.get(k))) {
-                txn.put(k, v);
-            }
-        });
-        for (String k : j.chunks.keySet()) {
-            if (!now.containsKey(k)) {
-                txn.delete(k);
-            }
-        }
-        if (ends) {
-            txn.delete(key).put(JobRecord.endedKey(j.ref()), j.record.endedNode(state(j)));
-        } else {
-            txn.put(key, j.record.toNode());
+    private void committed(Commit c, boolean rotating, Batch batch, List<Placement> placed) {
+        batch.parts().forEach(p -> p.job.inFlight = false);
+        result(c, rotating, batch, placed);
+        if (loading.complete()) {
+            batch.parts().forEach(p -> loading.takeUp(p.job));
         }
     }
 
-    private void committed(Commit c, boolean rotating, List<Job> batch, List<Placement> placed, List<Job> ended,
-            Map<Job, Map<String, ArrayNode>> chunks) {
-        batch.forEach(j -> j.inFlight = false);
+    private void result(Commit c, boolean rotating, Batch batch, List<Placement> placed) {
         switch (c.result()) {
             case DONE -> {
                 if (rotating) {
                     election.rotated(c.revision());
                     LOG.info("baton rewritten: {}", election.baton().value());
                 }
-                for (Job j : batch) {
-                    j.version = c.revision();
-                    j.chunks = chunks.get(j);
-                    j.committedWidth = j.sentWidth;
-                }
-                for (Job j : ended) {
-                    book.remove(j);
-                    listener.ended(j.ref(), j.record.endedNode(state(j)));
-                    LOG.info("{} ended: {}", j.ref(), state(j));
+                batch.made();
+                for (Batch.Part p : batch.parts()) {
+                    if (p.way == Batch.Way.RECORD) {
+                        p.job.version = c.revision();
+                    } else if (p.way == Batch.Way.END) {
+                        book.ended(p.job);
+                        listener.ended(p.job.ref(), p.job.record.endedNode(p.job.finalState()));
+                        LOG.info("{} ended: {}", p.job.ref(), p.job.finalState());
+                    }
+                    if (p.way != Batch.Way.END && ends(p.job)) {
+                        book.touch(p.job); // gathered for the log's sake; written off as clean, it once never ended
+                    }
                 }
                 for (Placement p : placed) {
                     p.committed = true;
@@ -242,7 +281,7 @@
                     }
                 }
                 listener.placed(placed);
-                batch.forEach(listener::written);
+                batch.parts().forEach(p -> listener.written(p.job));
             }
             case CONFLICT -> {
                 if (c.failed().contains(Election.KEY)) {
@@ -259,8 +298,9 @@
                 settle();
             }
             case REFUSED -> {
+                batch.dropped();
                 rotateWanted |= rotating;
-                batch.forEach(book::touch);
+                batch.parts().forEach(p -> book.touch(p.job));
                 nextCommit = turn.now().plusMs(200);
             }
         }
--- a/src/main/java/org/beechhoist/core/Controller.java
+++ b/src/main/java/org/beechhoist/core/Controller.java
@@ -1,6 +1,7 @@
 package org.beechhoist.core;
 
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Set;
 import java.util.SplittableRandom;
@@ -24,18 +25,19 @@
  */
 public final class Controller {
     private static final long TICK_MS = 500;
-    /** Shares of the state service's limits: the leader's, and what each other node may use. */
+    /** The leader's share of the state service's requests. */
     private static final double LEADER_SHARE = 0.55;
-    private static final double LEADER_WRITES = 0.75;
     /**
      * Users are spread unevenly and seldom busy on all nodes at once, so each node other than the leader may use this
-     * much of an even share; the state service refuses what is too much, and that is told to the user.
+     * much of an even share of the requests; the state service refuses what is too much, and that is told to the user.
      */
     private static final double LENT = 2.5;
+    /** How much of what a node wanted a second ago it is thought to want still. */
+    private static final double WANTED_BEFORE = 0.7;
     /** Submissions come in bursts: what a node may write at once after a quiet while. */
     private static final double LEAST_BURST = 8;
     private static final double SAFETY = 0.9;
-    private static final Set<String> VIEWS = Set.of("/v1/plan", "/v1/hosts", "/v1/teams", "/v1/metrics");
+    private static final Set<String> VIEWS = Set.of("/v1/plan", "/v1/hosts", "/v1/teams", "/v1/falls", "/v1/metrics");
     private static final String CRON = "/v1/cron";
     private static final String CALENDARS = "/v1/calendars";
     private static final long TELL_MS = 1000;
@@ -52,6 +54,9 @@
     private final Leader leader;
     private final UserApi users;
     private final Peers peers;
+    private final Progress progress = new Progress();
+    private final Hearing hearing;
+    private double writesWanted;
     /** Null where it is off. */
     private final CronApi cron;
     private boolean seenStore;
@@ -74,6 +79,7 @@
                 }));
         this.types = new Types(turn);
         OnceKeys onceKeys = new OnceKeys(policy.cron());
+        this.hearing = new Hearing(Math.round(1000 * settings.workers().reportS()));
         this.peers = new Peers(settings.seeds().keySet());
         this.users = new UserApi(turn, settings, policy, store, requests, writes, types, this::promised, onceKeys);
         this.cron = policy.cron().on() ? new CronApi(turn, settings, store, requests, writes, users, this::held) : null;
@@ -88,15 +94,19 @@
             @Override
             public void lost() {
                 share(false);
+                progress.forgetTold();
                 leader.end();
             }
         });
-        this.leader = new Leader(turn, settings, policy, new SplittableRandom(seed), store, election, requests, writes, types, users, onceKeys);
+        this.leader = new Leader(turn, settings, policy, new SplittableRandom(seed), store, election, requests, writes, types, users,
+                onceKeys, peers);
         share(false);
     }
 
     private void promised(JobRef ref, ObjectNode state) {
-        if (leader.active()) {
+        Job known = leader.active() ? leader.book().job(ref) : null;
+        Views.counted(known != null ? Progress.count(known) : progress.of(ref, turn.now()), state);
+        if (known != null) {
             Views.promised(leader, ref, state, turn.now().ms());
         }
     }
@@ -106,17 +116,22 @@
     }
 
     private void share(boolean leads) {
-        requests.setRate(share(leads, LEADER_SHARE) * settings.stateLimits().rps(), 1);
-        writes.setRate(share(leads, LEADER_WRITES) * settings.stateLimits().writeRps(), LEAST_BURST);
+        int others = settings.nodes() - 1;
+        double requestShare = others < 1 ? 1 : leads ? LEADER_SHARE : Math.min(LEADER_SHARE, LENT * (1 - LEADER_SHARE) / others);
+        requests.setRate(SAFETY * requestShare * settings.stateLimits().rps(), 1);
+        List<Shares.Want> wants = new ArrayList<>(List.of(new Shares.Want(leads, writesWanted)));
+        wants.addAll(peers.wants(turn.now()));
+        writes.setRate(Shares.of(SAFETY * settings.stateLimits().writeRps(), wants), LEAST_BURST);
     }
 
-    /** This node's share of the state service's limits. */
-    private double share(boolean leads, double leaders) {
-        int others = settings.nodes() - 1;
-        if (others < 1) {
-            return SAFETY;
+    /** Once a second: tells the others, and takes up what they told. */
+    private void tell() {
+        writesWanted = Math.max(WANTED_BEFORE * writesWanted, writes.takeWanted() + leader.backlog());
+        share(election.leading());
+        if (!settings.seeds().isEmpty()) {
+            turn.tell(new PeerState(settings.node(), election.valid(), election.baton(), turn.now().since(storeServed),
+                    types.known() && seenStore, hearing.lately(turn.now()), writesWanted, leader.active() ? progress.toTell(leader.book()) : List.of()));
         }
-        return SAFETY * (leads ? leaders : Math.min(leaders, LENT * (1 - leaders) / others));
     }
 
     public void start(Tick now, long wallMs) {
@@ -129,10 +144,9 @@
 
     private void tick() {
         leader.tick();
-        if (!turn.now().before(nextTell) && !settings.seeds().isEmpty()) {
+        if (!turn.now().before(nextTell)) {
             nextTell = turn.now().plusMs(TELL_MS);
-            turn.tell(new PeerState(settings.node(), election.valid(), election.baton(),
-                    turn.now().since(storeServed), types.known() && seenStore));
+            tell();
         }
         turn.after(TICK_MS, this::tick);
     }
@@ -165,6 +179,7 @@
     public void peer(Tick now, long wallMs, PeerState state) {
         turn.begin(now, wallMs);
         peers.heard(state, now);
+        progress.heard(state, now);
     }
 
     /**
@@ -215,7 +230,7 @@
             case "/checkin" -> checkin(id, body);
             case "/ready" -> turn.answer(id, ready() ? 200 : 503, null);
             case "/v1/metrics" -> turn.answer(id, 200, metrics.toNode());
-            case "/v1/plan", "/v1/hosts", "/v1/teams" -> view(id, path);
+            case "/v1/plan", "/v1/hosts", "/v1/teams", "/v1/falls" -> view(id, path);
             default -> job(id, path.substring("/v1/jobs/".length()), body);
         }
     }
@@ -258,6 +273,7 @@
         turn.answer(id, 200, switch (path) {
             case "/v1/plan" -> Views.plan(leader, now);
             case "/v1/hosts" -> Views.hosts(leader, now);
+            case "/v1/falls" -> leader.recovery().view();
             default -> Views.teams(leader, settings);
         });
     }
@@ -285,6 +301,7 @@
             turn.answer(id, 400, Codec.map().put("error", e.getMessage()));
             return;
         }
+        hearing.report(turn.now());
         if (election.valid()) {
             leader.checkin(id, report);
             return;
--- a/src/main/java/org/beechhoist/core/CronApi.java
+++ b/src/main/java/org/beechhoist/core/CronApi.java
@@ -194,7 +194,7 @@
         int bytes = PART_BYTES;
         for (Entry e : sorted) {
             ObjectNode n = e.toNode();
-            int size = Codec.encode(n).length;
+            int size = Codec.countedBytes(n);
             if (bytes + size > PART_BYTES || out.get(out.size() - 1).size() >= PART_LINES) {
                 out.add(Codec.list());
                 bytes = 0;
@@ -399,8 +399,8 @@
             return;
         }
         ObjectNode value = c.toNode();
-        if (Codec.encode(value).length > PART_BYTES) {
-            answer.with(400, error("holidays: " + Codec.encode(value).length + " bytes in all, at most " + PART_BYTES + " are allowed"));
+        if (Codec.countedBytes(value) > PART_BYTES) {
+            answer.with(400, error("holidays: " + Codec.countedBytes(value) + " bytes in all, at most " + PART_BYTES + " are allowed"));
             return;
         }
         send(new Txn().put(ScheduleKeys.CALENDARS + name, value), r -> {
--- a/src/main/java/org/beechhoist/core/Departures.java
+++ b/src/main/java/org/beechhoist/core/Departures.java
@@ -13,8 +13,10 @@
     private final Book book;
     private final Orders orders;
     private final Stopping stopping;
+    private final Recovery recovery;
 
-    Departures(Book book, Orders orders, Stopping stopping) {
+    Departures(Book book, Orders orders, Stopping stopping, Recovery recovery) {
+        this.recovery = recovery;
         this.book = book;
         this.orders = orders;
         this.stopping = stopping;
@@ -76,6 +78,7 @@
             if (j != null && j.record.live.get(p.task.index()) == p) {
                 LOG.info("{} try {} left {}: {}", p.task, p.attempt, h.id, why);
                 j.record.live.remove(p.task.index());
+                recovery.lost(j, p);
                 j.leaving.remove(p);
                 j.uncommitted -= p.committed ? 0 : 1;
                 if (j.spec().gang()) {
--- a/src/main/java/org/beechhoist/core/Election.java
+++ b/src/main/java/org/beechhoist/core/Election.java
@@ -40,6 +40,8 @@
     private boolean leading;
     private Baton baton = Baton.NONE;
     private Tick validUntil = Tick.ZERO;
+    /** After giving the lead up: others come first. */
+    private Tick standFrom = Tick.ZERO;
     private long round;
 
     Election(Turn turn, StoreClient store, Budget requests, String node, long ttlMs, Listener listener) {
@@ -56,6 +58,11 @@
         return leading && turn.now().before(validUntil);
     }
 
+    /** Until when this node may command workers, by what is known now. */
+    Tick validUntil() {
+        return validUntil;
+    }
+
     /** True while the leadership is not known to be lost, though perhaps suspended. */
     boolean leading() {
         return leading;
@@ -113,7 +120,9 @@
                 item = i.key().equals(KEY) ? i : item;
             }
             leader = item == null ? null : item.value().path("node").asText(null);
-            if (item == null) {
+            if (item == null && turn.now().before(standFrom)) {
+                later(700, r);
+            } else if (item == null) {
                 stand(r, Revision.ABSENT);
             } else if (node.equals(leader)) {
                 // An earlier life of this process held it; that process is dead, so its key may be replaced.
@@ -144,7 +153,11 @@
                 later(0, r);
             } else if (last.value() == null) {
                 leader = null;
-                stand(r, Revision.ABSENT);
+                if (turn.now().before(standFrom)) {
+                    later(700, r);
+                } else {
+                    stand(r, Revision.ABSENT);
+                }
             } else {
                 leader = last.value().path("node").asText(null);
                 watch(r, c.revision());
@@ -216,6 +229,12 @@
         });
     }
 
+    /** Gives the lead up for another node to take; this one stands again after a while. */
+    void makeWay(String cause, long forMs) {
+        standFrom = turn.now().plusMs(forMs);
+        lose(cause);
+    }
+
     /** Called when the key turned out not to be this leader's any more. */
     void lose(String cause) {
         if (!leading) {
--- /dev/null
+++ b/src/main/java/org/beechhoist/core/Hearing.java
@@ -0,0 +1,62 @@
+package org.beechhoist.core;
+
+import java.util.ArrayDeque;
+import java.util.Collection;
+import org.beechhoist.wire.Tick;
+
+/**
+ * How many workers reach this node. A leader that the state service serves and that no worker reaches would keep its
+ * lease, find all machines silent and return every one of them: it once did. It gives the lead up instead, to a node
+ * that workers can reach.
+ */
+final class Hearing {
+    /** Fewer of its machines than this share in the time in which all should have reported: something is in between. */
+    private static final double DEAF_SHARE = 0.3;
+    private static final int LEAST_MACHINES = 5;
+    /** Machines that are silent for all: other nodes must have been turned to by this share of the missing ones. */
+    private static final double TURNED_SHARE = 0.2;
+    private static final int MOST_REMEMBERED = 20_000;
+
+    private final long windowMs;
+    private final ArrayDeque<Tick> reports = new ArrayDeque<>();
+
+    /** @param reportMs how often a worker reports */
+    Hearing(long reportMs) {
+        this.windowMs = window(reportMs);
+    }
+
+    /** The time in which a worker that can reach a node has reported: a quarter late, and some for the way. */
+    static long window(long reportMs) {
+        return reportMs * 3 / 2 + 2000;
+    }
+
+    void report(Tick now) {
+        reports.addLast(now);
+        if (reports.size() > MOST_REMEMBERED) {
+            reports.removeFirst();
+        }
+    }
+
+    /** Reports that have reached this node lately, answered or turned away. */
+    int lately(Tick now) {
+        while (!reports.isEmpty() && now.since(reports.peekFirst()) > windowMs) {
+            reports.removeFirst();
+        }
+        return reports.size();
+    }
+
+    /**
+     * Whether a leader should make way.
+     *
+     * @param up machines that have reported to it before and are not on their way out; {@code heard} of them lately
+     * @param elsewhere reports that reached each other node that is heard of; empty: none is heard of
+     */
+    static boolean deaf(int up, int heard, Collection<Integer> elsewhere) {
+        int missing = up - heard;
+        if (up < LEAST_MACHINES || heard >= DEAF_SHARE * up) {
+            return false;
+        }
+        int turned = elsewhere.stream().mapToInt(Integer::intValue).sum();
+        return elsewhere.isEmpty() || turned >= TURNED_SHARE * missing;
+    }
+}
--- a/src/main/java/org/beechhoist/core/Host.java
+++ b/src/main/java/org/beechhoist/core/Host.java
@@ -49,6 +49,12 @@
     final List<Order> outbox = new ArrayList<>();
 
     boolean returning;
+    /** The cloud was asked to end it, and has not answered yet. */
+    boolean returnAsked;
+    /** It was asked for its report and has not answered yet; how often in a row it did not; when it last did. */
+    boolean asked;
+    int unanswered;
+    Tick answersAt = Tick.ZERO;
     Tick rentedAt;
     boolean up;
     /** The cloud lists it as running, though it may not have reported to this leadership yet. */
--- a/src/main/java/org/beechhoist/core/Job.java
+++ b/src/main/java/org/beechhoist/core/Job.java
@@ -9,6 +9,8 @@
 import org.beechhoist.elastic.Ending;
 import org.beechhoist.store.JobRecord;
 import org.beechhoist.store.Placement;
+import org.beechhoist.store.StoreClient;
+import org.beechhoist.store.Stored;
 import org.beechhoist.wire.HostId;
 import org.beechhoist.wire.JobRef;
 import org.beechhoist.wire.JobSpec;
@@ -24,6 +26,8 @@
     boolean dirty;
     Tick dirtySince = Tick.ZERO;
     boolean inFlight;
+    /** What the watch brought of the record while a commit of the job was on its way, or null. */
+    StoreClient.Item news;
     /** Placements that no transaction holds yet: their launches wait for one. */
     int uncommitted;
     /** Chosen from the time of day the job was accepted. */
@@ -33,9 +37,14 @@
     Tick nextNarrowing = Tick.ZERO;
     /** Tasks that are to go, and how; most are not stopped yet. */
     final Map<Placement, Ending> leaving = new LinkedHashMap<>();
-    /** The width that the state service holds, and the one on its way there. */
+    /** The width that the state service holds. */
     int committedWidth;
-    int sentWidth;
+    /** Failures that the record in the state service counts. */
+    int storedFailures;
+    /** Its tasks as the state service holds them, by record and log. */
+    Stored stored;
+    /** The same by the record alone. */
+    Stored recorded;
     final Set<HostId> failedOn = new HashSet<>();
     Tick lastProgress;
     /** Whether it fits into its team's guarantee together with the team's earlier open jobs. */
@@ -47,6 +56,9 @@
         this.submitted = submitted;
         this.lastProgress = submitted;
         this.committedWidth = width();
+        this.storedFailures = record.failures;
+        this.stored = Stored.of(record);
+        this.recorded = Stored.of(record);
     }
 
     JobRef ref() {
@@ -70,6 +82,11 @@
         return urgency < 0 || (urgency == 0 && guaranteed && borrowed);
     }
 
+    /** What it is called once nothing of it is live. */
+    String finalState() {
+        return record.cancelled() ? "cancelled" : "done";
+    }
+
     /** Whether what the leader holds of it is what the state service holds. */
     boolean settled() {
         return !dirty && !inFlight;
--- a/src/main/java/org/beechhoist/core/Leader.java
+++ b/src/main/java/org/beechhoist/core/Leader.java
@@ -12,6 +12,7 @@
 import org.beechhoist.plan.Plan;
 import org.beechhoist.store.Budget;
 import org.beechhoist.store.Placement;
+import org.beechhoist.store.Sizes;
 import org.beechhoist.store.StoreClient;
 import org.beechhoist.wire.Baton;
 import org.beechhoist.wire.HostReport;
@@ -27,14 +28,19 @@
 final class Leader {
     private static final Logger LOG = LoggerFactory.getLogger(Leader.class);
     private static final long STALLED_MS = 120_000;
+    /** How long a leader that no worker reaches leaves the lead to others, and how long it first waits to be sure. */
+    private static final long MAKE_WAY_MS = 30_000;
+    private static final long FIRST_REPORTS_MS = 4000;
 
     private final Turn turn;
     private final Settings settings;
     private final Election election;
+    private final Peers peers;
     private final Book book;
     private final Loading loading;
     private final Committer committer;
     private final Orders orders;
+    private final Recovery recovery;
     private final Departures departures;
     private final Reports reports;
     private final Provisioner provisioner;
@@ -48,13 +54,17 @@
     private final Schedules schedules;
 
     Leader(Turn turn, Settings settings, Policy policy, SplittableRandom random, StoreClient store,
-            Election election, Budget requests, Budget writes, Types types, UserApi users, OnceKeys onceKeys) {
+            Election election, Budget requests, Budget writes, Types types, UserApi users, OnceKeys onceKeys,
+            Peers peers) {
+        this.peers = peers;
         this.turn = turn;
         this.settings = settings;
         this.election = election;
         Estimates estimates = new Estimates();
         this.book = new Book(turn, settings);
-        this.loading = new Loading(turn, store, election, requests, estimates, book, new Loading.Listener() {
+        TaskLog log = new TaskLog();
+        Sizes sizes = Sizes.of(settings.stateLimits().valueBytes(), settings.stateLimits().txnOps());
+        this.loading = new Loading(turn, store, election, requests, estimates, book, log, sizes, new Loading.Listener() {
             @Override
             public void loaded() {
                 reports.bookLoaded();
@@ -63,6 +73,7 @@
             @Override
             public void cancelled(Job j) {
                 departures.pursue(j);
+                recovery.over(j.ref());
             }
 
             @Override
@@ -70,7 +81,7 @@
                 elastic.look(j);
             }
         });
-        this.committer = new Committer(turn, settings, store, election, requests, writes, book, loading,
+        this.committer = new Committer(turn, settings, store, election, requests, writes, book, loading, log, peers::allHeard,
                 new Committer.Listener() {
                     @Override
                     public void placed(List<Placement> placed) {
@@ -85,6 +96,7 @@
                     @Override
                     public void ended(JobRef ref, JsonNode state) {
                         users.ended(ref, state);
+                        recovery.over(ref);
                     }
                 });
         this.orders = new Orders(turn, settings, election, book, loading, new Orders.Listener() {
@@ -100,11 +112,13 @@
                 }
             }
         });
+        this.recovery = new Recovery(turn, book);
         Stopping stopping = new Stopping(book, orders);
         Faults faults = new Faults(turn, book);
         Ordering ordering = new Ordering(turn, settings, policy, book, estimates);
-        this.departures = new Departures(book, orders, stopping);
-        this.provisioner = new Provisioner(turn, settings, policy, types, book, ordering, estimates, faults, departures);
+        this.departures = new Departures(book, orders, stopping, recovery);
+        this.provisioner = new Provisioner(turn, settings, policy, election, types, book, ordering, estimates, faults, departures,
+                recovery);
         this.elastic = new Elastic(turn, policy.elastic(), book, types, estimates, stopping, departures);
         this.reports = new Reports(turn, election, book, loading, types, estimates, departures, faults, provisioner, elastic);
         this.admission = new Admission(turn, settings, types, book, faults);
@@ -149,6 +163,7 @@
     }
 
     private void launch(List<Placement> placed) {
+        placed.forEach(recovery::placed);
         Set<Host> reached = new LinkedHashSet<>();
         for (Placement p : placed) {
             Job j = book.job(p.task.job());
@@ -168,6 +183,15 @@
         return book;
     }
 
+    /** Jobs that wait to be written. */
+    int backlog() {
+        return committer.backlog();
+    }
+
+    Recovery recovery() {
+        return recovery;
+    }
+
     Planner planner() {
         return planner;
     }
@@ -183,7 +207,7 @@
     // ---- time ----
 
     void tick() {
-        if (!active()) {
+        if (!active() || deaf()) {
             return;
         }
         for (Host h : new ArrayList<>(book.hosts())) {
@@ -206,6 +230,28 @@
         }
     }
 
+    /** Whether no worker reaches this node while it leads; the lead is given up then. */
+    private boolean deaf() {
+        long window = Hearing.window(Math.round(1000 * settings.workers().reportS()));
+        if (turn.now().since(book.wonAt()) < window + FIRST_REPORTS_MS) {
+            return false;
+        }
+        int up = 0;
+        int heard = 0;
+        for (Host h : book.hosts()) {
+            if (h.known() && !h.returning && (h.up || h.listedUp)) {
+                up++;
+                heard += h.lastHeard != null && turn.now().since(h.lastHeard) < window ? 1 : 0;
+            }
+        }
+        if (!Hearing.deaf(up, heard, peers.reportsElsewhere(turn.now()))) {
+            return false;
+        }
+        LOG.warn("{} of {} machines reach this node: another is to lead", heard, up);
+        election.makeWay("workers can't reach this node", MAKE_WAY_MS);
+        return true;
+    }
+
     /** The schedules, or null. */
     Schedules schedules() {
         return schedules;
--- a/src/main/java/org/beechhoist/core/Loading.java
+++ b/src/main/java/org/beechhoist/core/Loading.java
@@ -2,13 +2,21 @@
 
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.function.Consumer;
 import org.beechhoist.store.Budget;
 import org.beechhoist.store.JobRecord;
 import org.beechhoist.elastic.Ending;
+import org.beechhoist.store.LogSegment;
 import org.beechhoist.store.Placement;
+import org.beechhoist.store.Sizes;
+import org.beechhoist.store.Stored;
 import org.beechhoist.store.StoreClient;
 import org.beechhoist.store.WidthRecord;
 import org.beechhoist.wire.Codec;
@@ -24,6 +32,7 @@
     private static final Logger LOG = LoggerFactory.getLogger(Loading.class);
     /** The oldest placement taken at its word. */
     private static final long LONGEST_AGO_MS = 24L * 3600 * 1000;
+    private static final long LOG_AGAIN_MS = 5000;
 
     private enum Phase { IDLE, LOADING, ACTIVE }
 
@@ -45,13 +54,17 @@
     private final Budget requests;
     private final Estimates estimates;
     private final Book book;
+    private final TaskLog log;
+    private final Sizes sizes;
     private final Listener listener;
     private Phase phase = Phase.IDLE;
     /** Changes whenever the book is read anew, and with leadership. */
     private long epoch;
 
     Loading(Turn turn, StoreClient store, Election election, Budget requests, Estimates estimates, Book book,
-            Listener listener) {
+            TaskLog log, Sizes sizes, Listener listener) {
+        this.log = log;
+        this.sizes = sizes;
         this.turn = turn;
         this.store = store;
         this.election = election;
@@ -94,34 +107,43 @@
 
     private void load() {
         phase = Phase.LOADING;
-        loadPage(epoch, null, new ArrayList<>(), null);
+        List<StoreClient.Item> records = new ArrayList<>();
+        List<StoreClient.Item> segments = new ArrayList<>();
+        // Records before the log: a job that enters in between has nothing in the log yet.
+        loadPage(epoch, JobRecord.OPEN, null, records, null, start ->
+                loadPage(epoch, LogSegment.PREFIX, null, segments, start, ignored -> loaded(records, segments, start)));
     }
 
-    private void loadPage(long e, String after, List<StoreClient.Item> items, Revision first) {
+    private void loadPage(long e, String prefix, String after, List<StoreClient.Item> items, Revision first, Consumer<Revision> then) {
         requests.take(turn.now(), 1);
-        store.list(JobRecord.OPEN, after, 200, page -> {
+        store.list(prefix, after, 200, page -> {
             if (e != epoch) {
                 return;
             }
             if (!page.ok()) {
-                turn.after(250, () -> {
-                    if (e == epoch) {
-                        load();
-                    }
-                });
+                again(250);
                 return;
             }
             items.addAll(page.items());
             Revision start = first == null ? page.revision() : first;
             if (page.more() && !page.items().isEmpty()) {
-                loadPage(e, items.get(items.size() - 1).key(), items, start);
+                loadPage(e, prefix, items.get(items.size() - 1).key(), items, start, then);
             } else {
-                loaded(items, start);
+                then.accept(start);
+            }
+        });
+    }
+
+    private void again(long ms) {
+        long e = epoch;
+        turn.after(ms, () -> {
+            if (e == epoch) {
+                load();
             }
         });
     }
 
-    private void loaded(List<StoreClient.Item> items, Revision start) {
+    private void loaded(List<StoreClient.Item> items, List<StoreClient.Item> segments, Revision start) {
         Map<TaskId, Placement> before = new HashMap<>();
         for (Host h : book.hosts()) {
             before.putAll(h.placements);
@@ -135,6 +157,10 @@
                 LOG.error("record {} can't be read, left alone: {}", i.key(), e.getMessage());
             }
         }
+        if (!takeLog(segments)) {
+            again(LOG_AGAIN_MS);
+            return;
+        }
         for (Job j : book.jobs()) {
             Job known = old.get(j.ref());
             for (Map.Entry<Integer, Placement> en : j.record.live.entrySet()) {
@@ -160,17 +186,64 @@
                     j.leaving.put(p, leaves);
                 }
             }
+            if (known == null && !j.record.live.isEmpty()) {
+                j.lastProgress = turn.now(); // when it last moved is not in the records; each take-over called all jobs stalled
+            }
             if (j.record.cancelled() || j.record.complete()) {
                 book.touch(j);
             }
         }
         phase = Phase.ACTIVE;
         book.replan();
-        LOG.info("book loaded: {} open jobs at revision {}", book.jobs().size(), start.value());
+        LOG.info("book loaded: {} open jobs, {} log segments, at revision {}", book.jobs().size(), log.segments(), start.value());
         watch(epoch, start);
         listener.loaded();
     }
 
+    /** Brings the records up to what the log says; false where a segment can't be read, and nothing is certain. */
+    private boolean takeLog(List<StoreClient.Item> items) {
+        log.reset();
+        book.jobs().forEach(j -> j.recorded = Stored.of(j.record));
+        Map<LogSegment, Integer> segments = new TreeMap<>(Comparator.comparingLong(LogSegment::number));
+        Set<JobRef> unreadable = new HashSet<>();
+        for (StoreClient.Item i : items) {
+            try {
+                segments.put(LogSegment.parse(i.value(), r -> book.job(r) == null ? -1 : book.job(r).spec().tasks(), unreadable),
+                        Integer.parseInt(i.key().substring(LogSegment.PREFIX.length())));
+            } catch (Malformed | NumberFormatException e) {
+                LOG.error("log segment {} can't be read, so nothing is started: {}", i.key(), e.getMessage());
+                return false;
+            }
+        }
+        for (JobRef ref : unreadable) {
+            LOG.error("what the log says of {} can't be read, it is left alone", ref);
+            book.remove(book.job(ref));
+        }
+        Map<JobRef, Long> from = new HashMap<>();
+        segments.forEach((s, slot) -> s.jobs().forEach((ref, delta) -> {
+            if (delta.begins()) {
+                from.put(ref, s.number());
+            }
+        }));
+        segments.forEach((s, slot) -> {
+            log.numbered(s.number());
+            Set<JobRef> holds = new HashSet<>();
+            s.jobs().forEach((ref, delta) -> {
+                Job j = book.job(ref);
+                if (j != null && s.number() > j.record.folded && s.number() >= from.getOrDefault(ref, 0L)) {
+                    delta.apply(j.record);
+                    holds.add(ref);
+                }
+            });
+            log.holds(s.number(), slot, holds);
+        });
+        for (Job j : book.jobs()) {
+            log.numbered(j.record.folded);
+            j.stored = Stored.of(j.record);
+        }
+        return true;
+    }
+
     private void takeRecord(StoreClient.Item i, Map<JobRef, Job> old) throws Malformed {
         String rest = i.key().substring(JobRecord.OPEN.length());
         int slash = rest.indexOf('/');
@@ -182,7 +255,7 @@
             }
             return;
         }
-        JobRecord r = JobRecord.parse(i.value());
+        JobRecord r = record(i);
         Job j = new Job(r, i.version(), turn.now().plusMs(Math.min(0, r.submittedWallMs - turn.wallMs())));
         Job known = old.get(j.ref());
         if (known != null) {
@@ -193,6 +266,12 @@
         book.add(j);
     }
 
+    private JobRecord record(StoreClient.Item i) throws Malformed {
+        JobRecord r = JobRecord.parse(i.value());
+        r.sizes = sizes;
+        return r;
+    }
+
     private void watch(long e, Revision after) {
         requests.take(turn.now(), 1);
         store.changes(JobRecord.OPEN, after, 5000, c -> {
@@ -221,17 +300,33 @@
         });
     }
 
+    /** The job's commit is over: what came of its record meanwhile counts now, if it is not our own. */
+    void takeUp(Job j) {
+        StoreClient.Item i = j.news;
+        j.news = null;
+        if (i != null && book.job(j.ref()) == j) {
+            changed(i);
+        }
+    }
+
     private void changed(StoreClient.Item i) {
         if (i.value() == null || i.key().indexOf('/', JobRecord.OPEN.length()) >= 0) {
             return;
         }
-        Job j = book.job(new JobRef(i.key().substring(JobRecord.OPEN.length())));
-        if (j != null && (j.inFlight || i.version().compareTo(j.version) <= 0)) {
-            return; // our own, or our commit on its way will conflict and the book be read again
+        JobRef ref = new JobRef(i.key().substring(JobRecord.OPEN.length()));
+        Job j = book.job(ref);
+        if (j == null ? book.hasEnded(ref) : i.version().compareTo(j.version) <= 0) {
+            return; // our own
+        }
+        if (j != null && j.inFlight) {
+            // Either our own, or our commit will conflict, or it was made just before this. In the last case nothing else
+            // would tell: a cancellation once went unnoticed because the watch was quicker than a commit's answer.
+            j.news = i;
+            return;
         }
         try {
             if (j == null) {
-                JobRecord r = JobRecord.parse(i.value());
+                JobRecord r = record(i);
                 if (r.live.isEmpty() && r.done.size() == 0) { // else it is our own ended job's echo
                     j = new Job(r, i.version(), turn.now().plusMs(Math.min(0, r.submittedWallMs - turn.wallMs())));
                     book.add(j);
--- a/src/main/java/org/beechhoist/core/Orders.java
+++ b/src/main/java/org/beechhoist/core/Orders.java
@@ -86,7 +86,7 @@
         body.set("orders", Order.toNode(orders));
         h.ordersInFlight++;
         long r = book.reign();
-        turn.call(Calls.Target.HOST, h.address, "POST", "/orders", body, DIRECT_TIMEOUT_MS, o -> {
+        turn.command(election.validUntil(), Calls.Target.HOST, h.address, "POST", "/orders", body, DIRECT_TIMEOUT_MS, o -> {
             if (r == book.reign() && book.known(h.id) == h) {
                 h.ordersInFlight--;
                 ordersDone(h, o, launches, baton);
--- a/src/main/java/org/beechhoist/core/Peers.java
+++ b/src/main/java/org/beechhoist/core/Peers.java
@@ -1,6 +1,8 @@
 package org.beechhoist.core;
 
+import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import org.beechhoist.peer.PeerState;
@@ -34,6 +36,33 @@
         return now.since(h.at) < FRESH_MS;
     }
 
+    /** Whether every other node has been heard since this one began: they are of a version that speaks as this one does. */
+    boolean allHeard() {
+        return heard.size() == seeds.size();
+    }
+
+    /** What each of the others wants of the state service's changes; not known where nothing was heard lately. */
+    List<Shares.Want> wants(Tick now) {
+        List<Shares.Want> out = new ArrayList<>();
+        for (String node : seeds) {
+            Heard h = heard.get(node);
+            boolean fresh = h != null && fresh(h, now);
+            out.add(new Shares.Want(fresh && h.state.leading(), fresh ? h.state.writesWanted() : -1));
+        }
+        return out;
+    }
+
+    /** How many workers' reports have lately reached each of the others that is heard of. */
+    List<Integer> reportsElsewhere(Tick now) {
+        List<Integer> out = new ArrayList<>();
+        for (Heard h : heard.values()) {
+            if (fresh(h, now)) {
+                out.add(h.state.reportsHeard());
+            }
+        }
+        return out;
+    }
+
     /** Who says that it leads, or null; of two the one with the newer baton. */
     String leader(Tick now) {
         PeerState best = null;
--- a/src/main/java/org/beechhoist/core/Planner.java
+++ b/src/main/java/org/beechhoist/core/Planner.java
@@ -29,6 +29,8 @@
     private static final long PLAN_EVERY_MS = 100;
     /** A plan that looked for this many gaps may be followed by the next one a millisecond later. */
     private static final long FITS_PER_MS = 400;
+    /** Plans go on however far behind the node is: nothing would start without them. */
+    private static final long MOST_BEHIND_MS = 1500;
     /** Elastic jobs whose widths one plan weighs: each costs a few trials of its part of the plan. */
     private static final int MAX_WEIGHED = 8;
     /** How long an elastic job that nobody waits for would wait for a machine at the lowest price. */
@@ -146,7 +148,7 @@
                 continue;
             }
             PlanHost ph = new PlanHost(h.id, t, h.zone, h.spot, h.up, h.up ? now : provisioner.readyAt(h, t));
-            h.images.keySet().forEach(i -> ph.image(i, now));
+            ph.holds(h.images.keySet());
             for (Placement p : h.placements.values()) {
                 Job j = book.job(p.task.job());
                 if (j != null) {
@@ -272,9 +274,9 @@
         return Evaluation.of(build(list, a.fixed()), facts, usage);
     }
 
-    /** How long a plan must serve before the next: the larger it is, the longer. */
+    /** How long a plan must serve before the next: the larger it is, and the further this node is behind, the longer. */
     private long pause(Plan p) {
-        return PLAN_EVERY_MS + p.fits() / FITS_PER_MS;
+        return PLAN_EVERY_MS + p.fits() / FITS_PER_MS + Math.min(MOST_BEHIND_MS, turn.lateMs());
     }
 
     /** The newest plan, or null. */
--- /dev/null
+++ b/src/main/java/org/beechhoist/core/Progress.java
@@ -0,0 +1,86 @@
+package org.beechhoist.core;
+
+import java.util.ArrayList;
+import java.util.Iterator;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import org.beechhoist.peer.JobCount;
+import org.beechhoist.peer.PeerState;
+import org.beechhoist.wire.Baton;
+import org.beechhoist.wire.JobRef;
+import org.beechhoist.wire.Tick;
+
+/**
+ * How far open jobs are, by the leader's word. Records are written seldom, so that the counts that users see come from
+ * here: for display, never for a final state. A node that has not heard the leader lately shows what the record says.
+ */
+final class Progress {
+    /** Counts told in one message: those that changed, then others in turn, for nodes that have just started. */
+    private static final int MOST_TOLD = 300;
+    private static final int MOST_OTHERS = 60;
+    private static final int REMEMBERED = 10_000;
+    private static final long FRESH_MS = 12_000;
+
+    private final Map<JobRef, JobCount> heard = new LinkedHashMap<>(16, 0.75f, true) {
+        @Override
+        protected boolean removeEldestEntry(Map.Entry<JobRef, JobCount> eldest) {
+            return size() > REMEMBERED;
+        }
+    };
+    private Baton baton = Baton.NONE;
+    private Tick heardAt = Tick.ZERO;
+    /** What this node, leading, told last. */
+    private final Map<JobRef, JobCount> told = new LinkedHashMap<>();
+
+    void heard(PeerState s, Tick now) {
+        if (s.leading() && s.baton().compareTo(baton) >= 0) {
+            baton = s.baton();
+            heardAt = now;
+            s.counts().forEach(c -> heard.put(c.job(), c));
+        }
+    }
+
+    /** The counts of an open job, or null where they are not known. */
+    JobCount of(JobRef ref, Tick now) {
+        return heardAt != Tick.ZERO && now.since(heardAt) < FRESH_MS ? heard.get(ref) : null;
+    }
+
+    /** What a leader tells the others now. */
+    List<JobCount> toTell(Book book) {
+        List<JobCount> out = new ArrayList<>();
+        for (Job j : book.jobs()) {
+            JobCount now = count(j);
+            if (out.size() < MOST_TOLD && !now.equals(told.get(j.ref()))) {
+                told.remove(j.ref());
+                told.put(j.ref(), now); // last again: the others are told in turn
+                out.add(now);
+            }
+        }
+        Iterator<JobCount> all = told.values().iterator();
+        List<JobCount> again = new ArrayList<>();
+        while (all.hasNext() && again.size() < MOST_OTHERS) {
+            JobCount c = all.next();
+            if (book.job(c.job()) == null) {
+                all.remove();
+            } else if (!out.contains(c)) {
+                again.add(c);
+            }
+        }
+        again.forEach(c -> {
+            told.remove(c.job());
+            told.put(c.job(), c);
+        });
+        out.addAll(again);
+        return out;
+    }
+
+    static JobCount count(Job j) {
+        return new JobCount(j.ref(), j.record.done.size(), (int) j.record.live.values().stream().filter(p -> p.committed).count());
+    }
+
+    /** Leadership has ended. */
+    void forgetTold() {
+        told.clear();
+    }
+}
--- a/src/main/java/org/beechhoist/core/Provisioner.java
+++ b/src/main/java/org/beechhoist/core/Provisioner.java
@@ -27,7 +27,9 @@
 final class Provisioner {
     private static final Logger LOG = LoggerFactory.getLogger(Provisioner.class);
     private static final int MAX_RETURN = 100;
+    private static final int MOST_RETURN_CALLS = 4;
     private static final long EVERY_MS = 1000;
+    private static final long LIST_OVERDUE_MS = 15_000;
     private static final int REMEMBERED_GONE = 4000;
     private static final long SOON_HEARD_MS = 3000;
     /** How long a new leadership waits for the first list before it rents without. */
@@ -36,12 +38,15 @@
     private final Turn turn;
     private final Settings settings;
     private final Policy policy;
+    private final Election election;
     private final Types types;
     private final Book book;
     private final Faults faults;
     private final Departures departures;
     private final Budget calls;
     private final Renting renting;
+    private final Silence silence;
+    private final Recovery recovery;
     private final Set<HostId> gone = Collections.newSetFromMap(new LinkedHashMap<>() {
         @Override
         protected boolean removeEldestEntry(Map.Entry<HostId, Boolean> eldest) {
@@ -54,19 +59,23 @@
     /** Whether this leadership has seen all machines once: before that, it would rent what it already has. */
     private boolean listed;
     private Tick wonAt = Tick.ZERO;
-    private boolean returningCall;
+    private int returnCalls;
 
-    Provisioner(Turn turn, Settings settings, Policy policy, Types types, Book book, Ordering ordering,
-            Estimates estimates, Faults faults, Departures departures) {
+    Provisioner(Turn turn, Settings settings, Policy policy, Election election, Types types, Book book, Ordering ordering,
+            Estimates estimates, Faults faults, Departures departures,
+            Recovery recovery) {
         this.turn = turn;
+        this.election = election;
         this.settings = settings;
         this.policy = policy;
         this.types = types;
         this.book = book;
         this.faults = faults;
         this.departures = departures;
+        this.silence = new Silence(turn, settings, policy, election, book);
+        this.recovery = recovery;
         this.calls = new Budget(settings.cloudLimits().rps() * 0.8);
-        this.renting = new Renting(turn, policy, types, book, ordering, estimates, calls);
+        this.renting = new Renting(turn, policy, election, types, book, ordering, estimates, calls);
     }
 
     /** A new leadership begins: its baton makes the names of its rentals. */
@@ -76,7 +85,9 @@
         listed = false;
         wonAt = turn.now();
         listing = false;
-        returningCall = false;
+        returnCalls = 0;
+        silence.reset();
+        recovery.reset();
         nextList = turn.now();
         nextTurn = turn.now();
     }
@@ -103,20 +114,28 @@
             return;
         }
         nextTurn = turn.now().plusMs(EVERY_MS);
-        if (!turn.now().before(nextList) && !listing && calls.tryTake(turn.now(), 1)) {
-            listing = true;
-            list(null, new HashMap<>(), turn.now());
-        }
         lookAfterHosts(plan);
-        sendReturns();
+        if (turn.now().since(nextList) > LIST_OVERDUE_MS) {
+            list(); // with few calls, or a fall that takes long, everything else would always come first
+        }
+        sendReturns(true);
         boolean oriented = listed || turn.now().since(wonAt) > FIRST_LIST_MS;
         if (plan != null && oriented) {
             renting.rentFor(plan);
         }
+        list();
+        sendReturns(false);
     }
 
     // ---- the list ----
 
+    private void list() {
+        if (!turn.now().before(nextList) && !listing && calls.tryTake(turn.now(), 1)) {
+            listing = true;
+            list(null, new HashMap<>(), turn.now());
+        }
+    }
+
     private void list(String after, Map<HostId, JsonNode> found, Tick asked) {
         long r = book.reign();
         String path = "/machines?limit=500" + (after == null ? "" : "&after=" + after);
@@ -185,21 +204,9 @@
         }
     }
 
-    /** Machines that miss two reports; never less than the operator's setting. */
-    private long silentMs() {
-        return Math.max(policy.silentMs(), Math.round(2 * 1.25 * settings.workers().reportS() * 1000) + 3000);
-    }
-
     private void lookAfterHosts(Plan plan) {
         Set<HostId> planned = plan == null ? Set.of() : plan.plannedHosts();
-        int up = 0;
-        int silent = 0;
-        for (Host h : book.hosts()) {
-            up += h.up ? 1 : 0;
-            silent += h.up && turn.now().since(book.heard(h)) > silentMs() ? 1 : 0;
-        }
-        // Many at once: more likely the network around this node than the machines.
-        boolean blind = silent > 2 && silent * 2 > up;
+        silence.look();
         for (Host h : book.hosts()) {
             if (h.returning) {
                 continue;
@@ -208,10 +215,10 @@
             if (!h.up) {
                 Tick since = h.rentedAt == null ? book.heard(h) : h.rentedAt;
                 double allowed = t == null ? 120 : Math.max(3 * t.startupS(), t.startupS() + 45);
-                if (turn.now().since(since) > 1000 * allowed && turn.now().since(book.heard(h)) > silentMs()) {
+                if (turn.now().since(since) > 1000 * allowed && turn.now().since(book.heard(h)) > silence.missedMs()) {
                     giveBack(h, "it never came up");
                 }
-            } else if (turn.now().since(book.heard(h)) > (blind ? settings.workers().leaseMs() : silentMs())) {
+            } else if (silence.gone(h)) {
                 giveBack(h, "it is silent");
             } else if (h.noticeEnds != null && h.placements.isEmpty() && h.strangers == 0) {
                 giveBack(h, "it is about to be taken and empty");
@@ -227,34 +234,36 @@
         }
     }
 
-    private void sendReturns() {
-        if (returningCall) {
-            return;
-        }
-        List<HostId> names = new ArrayList<>();
-        ArrayNode list = Codec.list();
-        for (Host h : book.hosts()) {
-            if (h.returning && names.size() < MAX_RETURN) {
-                names.add(h.id);
-                list.add(h.id.text());
+    /** Several calls may be on their way: five hundred dead machines are five calls, and their tasks wait for each. */
+    private void sendReturns(boolean withTasks) {
+        List<Host> due = recovery.toReturn(withTasks);
+        for (int from = 0; from < due.size() && returnCalls < MOST_RETURN_CALLS; from += MAX_RETURN) {
+            if (!calls.tryTake(turn.now(), 1)) {
+                return;
             }
+            sendReturn(due.subList(from, Math.min(due.size(), from + MAX_RETURN)));
         }
-        if (names.isEmpty() || !calls.tryTake(turn.now(), 1)) {
-            return;
+    }
+
+    private void sendReturn(List<Host> hosts) {
+        ObjectNode body = Codec.map();
+        ArrayNode list = body.putArray("hosts");
+        for (Host h : hosts) {
+            h.returnAsked = true;
+            list.add(h.id.text());
         }
-        returningCall = true;
+        returnCalls++;
         long r = book.reign();
-        ObjectNode body = Codec.map();
-        body.set("hosts", list);
-        turn.call(Calls.Target.CLOUD, null, "POST", "/machines/return", body, 5000, o -> {
+        turn.command(election.validUntil(), Calls.Target.CLOUD, null, "POST", "/machines/return", body, 5000, o -> {
             if (r != book.reign()) {
                 return;
             }
-            returningCall = false;
-            if (o.is(200)) {
-                for (HostId id : names) {
-                    gone.add(id);
-                    departures.hostGone(id);
+            returnCalls--;
+            for (Host h : hosts) {
+                h.returnAsked = false;
+                if (o.is(200)) {
+                    gone.add(h.id);
+                    departures.hostGone(h.id);
                 }
             }
         });
--- a/src/main/java/org/beechhoist/core/Renting.java
+++ b/src/main/java/org/beechhoist/core/Renting.java
@@ -93,6 +93,7 @@
 
     private final Turn turn;
     private final Policy policy;
+    private final Election election;
     private final Types types;
     private final Book book;
     private final Ordering ordering;
@@ -104,8 +105,9 @@
     private Tick lastRented = Tick.ZERO;
 
     /** @param calls the cloud calls left, shared with whoever else calls it */
-    Renting(Turn turn, Policy policy, Types types, Book book, Ordering ordering, Estimates estimates, Budget calls) {
+    Renting(Turn turn, Policy policy, Election election, Types types, Book book, Ordering ordering, Estimates estimates, Budget calls) {
         this.turn = turn;
+        this.election = election;
         this.policy = policy;
         this.types = types;
         this.book = book;
@@ -274,7 +276,7 @@
 
     private void attempt(Offer asked, int number, String name, ObjectNode body, Tick first) {
         long r = book.reign();
-        turn.call(Calls.Target.CLOUD, null, "POST", "/machines", body, 5000, o -> {
+        turn.command(election.validUntil(), Calls.Target.CLOUD, null, "POST", "/machines", body, 5000, o -> {
             if (r != book.reign()) {
                 return;
             }
--- a/src/main/java/org/beechhoist/core/Reports.java
+++ b/src/main/java/org/beechhoist/core/Reports.java
@@ -112,7 +112,7 @@
         h.lastAnswered = turn.now();
         ObjectNode body = Codec.map().put("baton", election.baton().value());
         body.set("orders", Order.toNode(orders));
-        turn.answer(request, 200, body);
+        turn.answer(request, 200, body, election.validUntil());
     }
 
     private static HostReport.Entry find(HostReport r, Placement p) {
--- a/src/main/java/org/beechhoist/core/Schedules.java
+++ b/src/main/java/org/beechhoist/core/Schedules.java
@@ -118,6 +118,7 @@
             }
             if (most < 3 || txn.ops() + 3 > most || bytes + RECORD_BYTES > MAX_BYTES) {
                 l.held = "the state service's writes are used up";
+                writes.missed(3);
                 continue;
             }
             Firing f = decide(l, now);
--- /dev/null
+++ b/src/main/java/org/beechhoist/core/Shares.java
@@ -0,0 +1,59 @@
+package org.beechhoist.core;
+
+import java.util.Arrays;
+import java.util.List;
+
+/**
+ * How the nodes share the state service's changes. Each is sure of a part; what one does not want goes to those that
+ * want more than their part, in proportion to the parts. All nodes work that out from what they told one another, so
+ * they agree as far as that is fresh; a node that nothing is heard of is taken to want its part.
+ */
+final class Shares {
+    /** The leader's sure part; the other nodes' users have the rest in equal parts. */
+    private static final double LEADER = 0.55;
+    /** How much of what nobody asked for a node may take at once, for bursts come before anybody has heard of them. */
+    private static final double LEADERS_SLACK = 0.75;
+    private static final double SLACK = 0.5;
+
+    /** What a node wants a second; below 0: not known. */
+    record Want(boolean leads, double perSecond) {
+    }
+
+    private Shares() {
+    }
+
+    /** @param total changes a second for all nodes together; {@code wants} of all nodes, the asking one first */
+    static double of(double total, List<Want> wants) {
+        int n = wants.size();
+        double[] part = new double[n];
+        double[] open = new double[n];
+        double[] got = new double[n];
+        long others = wants.stream().filter(w -> !w.leads).count();
+        for (int i = 0; i < n; i++) {
+            Want w = wants.get(i);
+            boolean led = others < n;
+            part[i] = !led ? total / n : w.leads ? (others == 0 ? total : LEADER * total) / (n - others) : (1 - LEADER) * total / others;
+            open[i] = w.perSecond < 0 ? part[i] : w.perSecond;
+        }
+        double left = total;
+        // Rounds of filling up: each gives the unsatisfied their parts of what is left.
+        for (int round = 0; round < n && left > 1e-9; round++) {
+            double weights = 0;
+            for (int i = 0; i < n; i++) {
+                weights += open[i] > 1e-9 ? part[i] : 0;
+            }
+            if (weights <= 0) {
+                break;
+            }
+            double given = 0;
+            for (int i = 0; i < n; i++) {
+                double more = open[i] > 1e-9 ? Math.min(open[i], left * part[i] / weights) : 0;
+                got[i] += more;
+                open[i] -= more;
+                given += more;
+            }
+            left -= given;
+        }
+        return Math.max(Math.min(part[0], total), got[0] + (wants.get(0).leads ? LEADERS_SLACK : SLACK) * Math.max(0, total - Arrays.stream(got).sum()));
+    }
+}
--- /dev/null
+++ b/src/main/java/org/beechhoist/core/Silence.java
@@ -0,0 +1,125 @@
+package org.beechhoist.core;
+
+import java.util.HashMap;
+import java.util.Map;
+import org.beechhoist.config.Policy;
+import org.beechhoist.config.Settings;
+import org.beechhoist.wire.Calls;
+import org.beechhoist.wire.Outcome;
+
+/**
+ * Whether a machine that is not heard is to be given up. Silence proves nothing about its tasks, it only decides when the
+ * cloud is asked to end it. A report that is late is asked for: a machine that answers is left alone, one that does not
+ * is given up sooner than one that nobody asked.
+ */
+final class Silence {
+    /** Questions on their way at once: each takes a socket, and those to dead machines hang. */
+    private static final int MOST_ASKED = 60;
+    private static final long ANSWER_MS = 2000;
+    /** A report may be late by a quarter, and some for the way. */
+    private static final double LATE = 1.25;
+    private static final long WAY_MS = 1500;
+    /** Unanswered questions that count as much as a second missed report. */
+    static final int ENOUGH = 2;
+    private static final int LEAST_IN_ZONE = 5;
+
+    /** What is known of a zone's machines in this turn. */
+    private static final class Zone {
+        private int up;
+        private int silent;
+
+        /** Most are silent: more likely the network than the machines. */
+        private boolean dark() {
+            return silent >= LEAST_IN_ZONE && silent * 2 > up;
+        }
+    }
+
+    private final Turn turn;
+    private final Settings settings;
+    private final Policy policy;
+    private final Election election;
+    private final Book book;
+    private final Map<String, Zone> zones = new HashMap<>();
+    private boolean blind;
+    private int asked;
+
+    Silence(Turn turn, Settings settings, Policy policy, Election election, Book book) {
+        this.turn = turn;
+        this.settings = settings;
+        this.policy = policy;
+        this.election = election;
+        this.book = book;
+    }
+
+    /** A new leadership begins. */
+    void reset() {
+        asked = 0;
+    }
+
+    /** Machines that miss two reports; never less than the operator's setting. */
+    long missedMs() {
+        return Math.max(policy.silentMs(), Math.round(2 * LATE * settings.workers().reportS() * 1000) + 3000);
+    }
+
+    private long lateMs() {
+        return Math.round(LATE * settings.workers().reportS() * 1000) + WAY_MS;
+    }
+
+    /** Counts the silent ones, and asks those whose report is late. */
+    void look() {
+        zones.clear();
+        int up = 0;
+        int silent = 0;
+        for (Host h : book.hosts()) {
+            if (!h.up || h.returning) {
+                continue;
+            }
+            long quiet = turn.now().since(book.heard(h));
+            Zone z = zones.computeIfAbsent(String.valueOf(h.zone), k -> new Zone());
+            up++;
+            z.up++;
+            if (quiet > lateMs()) {
+                z.silent++;
+                silent++;
+                ask(h);
+            } else {
+                h.unanswered = 0;
+            }
+        }
+        blind = silent > 2 && silent * 2 > up;
+    }
+
+    private void ask(Host h) {
+        if (h.asked || asked >= MOST_ASKED || h.unanswered >= ENOUGH || h.address == null) {
+            return;
+        }
+        h.asked = true;
+        asked++;
+        long reign = book.reign();
+        turn.command(election.validUntil(), Calls.Target.HOST, h.address, "GET", "/show", null, ANSWER_MS, o -> {
+            if (reign != book.reign()) {
+                return;
+            }
+            asked--;
+            h.asked = false;
+            boolean answers = o.kind() == Outcome.Kind.ANSWERED;
+            h.unanswered = answers ? 0 : h.unanswered + 1;
+            if (answers) {
+                h.answersAt = turn.now();
+            }
+        });
+    }
+
+    /** Whether the machine is to be returned for its silence. */
+    boolean gone(Host h) {
+        long quiet = turn.now().since(book.heard(h));
+        Zone z = zones.get(String.valueOf(h.zone));
+        if (blind || (z != null && z.dark())) {
+            return quiet > settings.workers().leaseMs();
+        }
+        if (quiet <= Math.min(policy.silentMs(), missedMs()) || turn.now().since(h.answersAt) < lateMs()) {
+            return false;
+        }
+        return quiet > missedMs() || h.unanswered >= ENOUGH;
+    }
+}
--- /dev/null
+++ b/src/main/java/org/beechhoist/core/StatusReads.java
@@ -0,0 +1,158 @@
+package org.beechhoist.core;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.BiConsumer;
+import org.beechhoist.store.Budget;
+import org.beechhoist.store.JobRecord;
+import org.beechhoist.store.StoreClient;
+import org.beechhoist.store.StoreClient.Commit;
+import org.beechhoist.store.Txn;
+import org.beechhoist.wire.JobRef;
+import org.beechhoist.wire.Revision;
+import org.beechhoist.wire.Tick;
+
+/**
+ * Users poll open jobs whose records seldom change. What was read of one before is not read again: a transaction that only
+ * compares asks for many of them at once whether they still have that version. It is decided by the state service after
+ * the poll came, so an answer is as new as a read's.
+ */
+final class StatusReads {
+    private static final int REMEMBERED = 3000;
+    /** Where requests run short, polls gather for this long. */
+    private static final long GATHER_MS = 100;
+    /** Of a second's requests; with less left, polls gather. */
+    private static final double SHORT = 0.6;
+
+    private record Known(Revision version, ObjectNode state) {
+    }
+
+    private record Poll(JobRef ref, BiConsumer<Result, ObjectNode> then) {
+    }
+
+    /** What came of a poll. */
+    enum Result {
+        /** The state that was handed over is the record's now. */
+        SAME,
+        /** Nothing is known of it, or it has changed: it must be read. */
+        READ,
+        /** The state service was not asked, or did not answer. */
+        REFUSED
+    }
+
+    private final Turn turn;
+    private final StoreClient store;
+    private final Budget requests;
+    private final int mostGuards;
+    private final Map<JobRef, Known> known = new LinkedHashMap<>(16, 0.75f, true) {
+        @Override
+        protected boolean removeEldestEntry(Map.Entry<JobRef, Known> eldest) {
+            return size() > REMEMBERED;
+        }
+    };
+    private List<Poll> waiting = new ArrayList<>();
+    private boolean asking;
+    private boolean timed;
+    private Tick nextAsk = Tick.ZERO;
+
+    /** @param txnOps the state service's limit of changes; it takes four times as many comparisons */
+    StatusReads(Turn turn, StoreClient store, Budget requests, int txnOps) {
+        this.turn = turn;
+        this.store = store;
+        this.requests = requests;
+        this.mostGuards = 4 * txnOps;
+    }
+
+    /** The job's record was read or written as this version. */
+    void remember(JobRef ref, Revision version, ObjectNode state) {
+        known.put(ref, new Known(version, state.deepCopy()));
+    }
+
+    void forget(JobRef ref) {
+        known.remove(ref);
+    }
+
+    /** Hands over the job's state if it is known and certain, in its own time. */
+    void poll(JobRef ref, BiConsumer<Result, ObjectNode> then) {
+        if (!known.containsKey(ref)) {
+            then.accept(Result.READ, null);
+            return;
+        }
+        waiting.add(new Poll(ref, then));
+        ask();
+    }
+
+    private void ask() {
+        if (asking || waiting.isEmpty()) {
+            return;
+        }
+        if (turn.now().before(nextAsk)) {
+            if (!timed) {
+                timed = true;
+                turn.after(nextAsk.since(turn.now()), () -> {
+                    timed = false;
+                    ask();
+                });
+            }
+            return;
+        }
+        List<Poll> batch = waiting;
+        waiting = new ArrayList<>();
+        boolean plenty = requests.available(turn.now()) > SHORT * requests.most();
+        if (!requests.tryTake(turn.now(), 1)) {
+            batch.forEach(p -> p.then.accept(Result.REFUSED, null));
+            return;
+        }
+        nextAsk = plenty ? Tick.ZERO : turn.now().plusMs(GATHER_MS);
+        Map<JobRef, Known> asked = new LinkedHashMap<>();
+        Txn txn = new Txn();
+        List<Poll> polls = new ArrayList<>();
+        for (Poll p : batch) {
+            Known k = asked.get(p.ref);
+            if (k == null && asked.size() == mostGuards) {
+                waiting.add(p);
+                continue;
+            }
+            if (k == null) {
+                k = known.get(p.ref);
+                if (k == null) {
+                    p.then.accept(Result.READ, null);
+                    continue;
+                }
+                asked.put(p.ref, k);
+                txn.guard(JobRecord.openKey(p.ref), k.version);
+            }
+            polls.add(p);
+        }
+        if (polls.isEmpty()) {
+            ask();
+            return;
+        }
+        asking = true;
+        store.commit(txn, c -> {
+            asking = false;
+            answered(c, asked, polls);
+            ask();
+        });
+    }
+
+    private void answered(Commit c, Map<JobRef, Known> asked, List<Poll> polls) {
+        for (Poll p : polls) {
+            switch (c.result()) {
+                case DONE -> p.then.accept(Result.SAME, asked.get(p.ref).state.deepCopy());
+                case CONFLICT -> {
+                    if (c.failed().contains(JobRecord.openKey(p.ref))) {
+                        forget(p.ref);
+                        p.then.accept(Result.READ, null);
+                    } else {
+                        waiting.add(p); // whether all that failed are named is not said: asked again without those
+                    }
+                }
+                default -> p.then.accept(Result.REFUSED, null);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/beechhoist/core/TaskLog.java
@@ -0,0 +1,114 @@
+package org.beechhoist.core;
+
+import java.util.ArrayDeque;
+import java.util.BitSet;
+import java.util.Collection;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashSet;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import org.beechhoist.wire.JobRef;
+
+/**
+ * Which slots of the log are in use, and whose news they hold. A slot is free once every job in it has ended or has a
+ * record that says the same; it is then written anew, so the log costs no deletions.
+ */
+final class TaskLog {
+    /** Beyond this many segments what the oldest say is gathered in new ones: a take-over has to read them all. */
+    private static final int MANY = 40;
+
+    private record Segment(long number, int slot, Set<JobRef> jobs) {
+    }
+
+    private final TreeMap<Long, Segment> inUse = new TreeMap<>();
+    private final Map<JobRef, Deque<Segment>> byJob = new HashMap<>();
+    private final BitSet slots = new BitSet();
+    private long lastNumber;
+
+    void reset() {
+        inUse.clear();
+        byJob.clear();
+        slots.clear();
+        lastNumber = 0;
+    }
+
+    /** The number of the newest segment that was written, or tried. */
+    long lastNumber() {
+        return lastNumber;
+    }
+
+    void numbered(long number) {
+        lastNumber = Math.max(lastNumber, number);
+    }
+
+    long nextNumber() {
+        return ++lastNumber;
+    }
+
+    /** A slot to be written; it is in use until {@link #release}. */
+    int reserve() {
+        int slot = slots.nextClearBit(0);
+        slots.set(slot);
+        return slot;
+    }
+
+    /** The slot was not written after all. */
+    void release(int slot) {
+        slots.clear(slot);
+    }
+
+    /** The state service holds a segment with these jobs' news. */
+    void holds(long number, int slot, Collection<JobRef> jobs) {
+        if (jobs.isEmpty()) {
+            slots.clear(slot);
+            return;
+        }
+        slots.set(slot);
+        Segment s = new Segment(number, slot, new HashSet<>(jobs));
+        inUse.put(number, s);
+        jobs.forEach(j -> byJob.computeIfAbsent(j, k -> new ArrayDeque<>(2)).add(s));
+    }
+
+    /** The job has ended, or its record says all that the log does. */
+    void settled(JobRef job) {
+        Deque<Segment> of = byJob.remove(job);
+        if (of == null) {
+            return;
+        }
+        for (Segment s : of) {
+            s.jobs.remove(job);
+            if (s.jobs.isEmpty()) {
+                inUse.remove(s.number);
+                slots.clear(s.slot);
+            }
+        }
+    }
+
+    /** Whether the job's record lacks what the log says. */
+    boolean beyond(JobRef job) {
+        return byJob.containsKey(job);
+    }
+
+    boolean crowded() {
+        return inUse.size() > MANY;
+    }
+
+    int segments() {
+        return inUse.size();
+    }
+
+    /** The jobs that keep the oldest segments in use, about so many. */
+    Set<JobRef> oldest(int most) {
+        Set<JobRef> out = new LinkedHashSet<>();
+        for (Segment s : inUse.values()) {
+            if (out.size() >= most) {
+                break;
+            }
+            out.addAll(s.jobs);
+        }
+        return out;
+    }
+}
--- a/src/main/java/org/beechhoist/core/Turn.java
+++ b/src/main/java/org/beechhoist/core/Turn.java
@@ -17,7 +17,10 @@
     private record Timer(Tick at, long order, Runnable action) {
     }
 
+    private static final double FADES = 0.9;
+
     private Tick now = Tick.ZERO;
+    private double lateMs;
     private long wallMs;
     private long nextId = 1;
     private List<Effect> effects = new ArrayList<>();
@@ -42,6 +45,11 @@
         effects.add(new Effect.Answer(request, status, body, status == 503 || status == 429 ? 1 : 0));
     }
 
+    /** The answer is a command, or lets one's right to command last: it counts only before {@code until}. */
+    void answer(long request, int status, JsonNode body, Tick until) {
+        effects.add(new Effect.Answer(request, status, body, 0, until));
+    }
+
     void tell(PeerState state) {
         effects.add(new Effect.Tell(state));
     }
@@ -49,9 +57,15 @@
     @Override
     public void call(Target target, String address, String method, String path, JsonNode body, long timeoutMs,
             Consumer<Outcome> then) {
+        command(null, target, address, method, path, body, timeoutMs, then);
+    }
+
+    /** A call that is sent before {@code until} or not at all; {@link Outcome#NOT_SENT} then. */
+    void command(Tick until, Target target, String address, String method, String path, JsonNode body, long timeoutMs,
+            Consumer<Outcome> then) {
         long id = nextId++;
         waiting.put(id, then);
-        effects.add(new Effect.Call(id, target, address, method, path, body, timeoutMs));
+        effects.add(new Effect.Call(id, target, address, method, path, body, timeoutMs, until));
     }
 
     void outcome(long id, Outcome o) {
@@ -71,11 +85,23 @@
     }
 
     void runTimers() {
+        boolean first = true;
         while (!timers.isEmpty() && !now.before(timers.peek().at)) {
-            timers.poll().action.run();
+            Timer t = timers.poll();
+            if (first) {
+                // The longest wait of those due; it fades, for one slow turn says little of the next.
+                lateMs = Math.max(FADES * lateMs, now.since(t.at));
+                first = false;
+            }
+            t.action.run();
         }
     }
 
+    /** How late deadlines have lately been met: a node that has used its share of the processor falls behind. */
+    long lateMs() {
+        return Math.round(lateMs);
+    }
+
     List<Effect> drain() {
         List<Effect> out = effects;
         effects = new ArrayList<>();
--- a/src/main/java/org/beechhoist/core/UserApi.java
+++ b/src/main/java/org/beechhoist/core/UserApi.java
@@ -53,6 +53,7 @@
     private final Budget requests;
     private final Budget writes;
     private final Types types;
+    /** Adds to an open job's state what this node knows beyond its record. */
     private final BiConsumer<JobRef, ObjectNode> promised;
     private final Map<JobRef, JsonNode> ended = new LinkedHashMap<>(16, 0.75f, true) {
         @Override
@@ -61,12 +62,14 @@
         }
     };
     private final OnceKeys onceKeys;
+    private final StatusReads reads;
     private final List<Submission> queue = new ArrayList<>();
     private int commits;
 
     UserApi(Turn turn, Settings settings, Policy policy, StoreClient store, Budget requests, Budget writes, Types types,
             BiConsumer<JobRef, ObjectNode> promised, OnceKeys onceKeys) {
         this.onceKeys = onceKeys;
+        this.reads = new StatusReads(turn, store, requests, settings.stateLimits().txnOps());
         this.turn = turn;
         this.settings = settings;
         this.policy = policy;
@@ -78,6 +81,7 @@
     }
 
     void ended(JobRef ref, JsonNode state) {
+        reads.forget(ref);
         ended.put(ref, state);
     }
 
@@ -165,6 +169,7 @@
             room = Math.min(room, 20); // well under the size limit of a transaction
             if (room < 1 || !requests.tryTake(turn.now(), 1)) {
                 // Refused rather than held: the user is told when to come back.
+                writes.missed(queue.size());
                 queue.forEach(s -> refuse(s.request, BUSY));
                 queue.clear();
                 return;
@@ -198,7 +203,10 @@
         store.commit(txn, c -> {
             commits--;
             if (c.result() == Commit.Result.DONE) {
-                batch.forEach(s -> turn.answer(s.request, 201, state(s.spec.ref(), "queued")));
+                for (Submission s : batch) {
+                    reads.remember(s.spec.ref(), c.revision(), openState(s.spec.ref(), new JobRecord(s.spec, turn.wallMs()).toNode()));
+                    turn.answer(s.request, 201, state(s.spec.ref(), "queued"));
+                }
             } else if (c.result() == Commit.Result.CONFLICT) {
                 for (Submission s : batch) {
                     if (c.failed().contains(JobRecord.openKey(s.spec.ref()))
@@ -321,13 +329,31 @@
     }
 
     void status(long request, JobRef ref) {
-        read(ref, requests.tryTake(turn.now(), 1), found -> {
+        if (ended.containsKey(ref)) {
+            readStatus(request, ref, true);
+            return;
+        }
+        reads.poll(ref, (result, state) -> {
+            switch (result) {
+                case SAME -> {
+                    promised.accept(ref, state);
+                    turn.answer(request, 200, state);
+                }
+                case READ -> readStatus(request, ref, requests.tryTake(turn.now(), 1));
+                default -> refuse(request, STORE);
+            }
+        });
+    }
+
+    private void readStatus(long request, JobRef ref, boolean allowed) {
+        read(ref, allowed, found -> {
             if (found == null) {
                 refuse(request, STORE);
             } else if (found.status == null) {
                 turn.answer(request, 404, reason("no such job"));
             } else {
                 if (found.open != null) {
+                    reads.remember(ref, found.open.version(), (ObjectNode) found.status);
                     promised.accept(ref, (ObjectNode) found.status);
                 }
                 turn.answer(request, 200, found.status);
--- a/src/main/java/org/beechhoist/core/Views.java
+++ b/src/main/java/org/beechhoist/core/Views.java
@@ -5,6 +5,7 @@
 import java.util.HashMap;
 import java.util.Map;
 import org.beechhoist.config.Settings;
+import org.beechhoist.peer.JobCount;
 import org.beechhoist.plan.Plan;
 import org.beechhoist.wire.Codec;
 import org.beechhoist.wire.JobRef;
@@ -80,6 +81,16 @@
         return out;
     }
 
+    /** Counts newer than the record's; a job that is over, or cancelled, stays what it is. */
+    static void counted(JobCount c, ObjectNode state) {
+        String status = state.path("status").asText();
+        if (c == null || !(status.equals("queued") || status.equals("running"))) {
+            return;
+        }
+        state.put("done", Math.max(c.done(), state.path("done").asInt())).put("running", c.running())
+                .put("status", c.running() > 0 ? "running" : "queued");
+    }
+
     /** Adds what only the leader knows of an open job to its state: when it is planned to start and to be over. */
     static void promised(Leader leader, JobRef ref, ObjectNode state, long nowMs) {
         Plan plan = leader.planner().current();
--- a/src/main/java/org/beechhoist/daemon/Node.java
+++ b/src/main/java/org/beechhoist/daemon/Node.java
@@ -29,7 +29,7 @@
     private static final Logger LOG = LoggerFactory.getLogger(Node.class);
     private static final String CBOR = "application/cbor";
     private static final String TEXT = "text/plain";
-    private static final int MAX_PEER_BODY = 4096;
+    private static final int MAX_PEER_BODY = PeerCodec.MAX_BYTES;
     private static final byte[] EMPTY = new byte[0];
 
     private final Settings settings;
@@ -58,6 +58,7 @@
     /** Serves until {@link #stop} is called. */
     public void run() throws IOException {
         LOG.info("{} in {} serves users and workers on {}", settings.node(), settings.zone(), settings.publicAddress());
+        settings.warnings().forEach(LOG::warn);
         loop.onTurnEnd(this::carryOut);
         core.start(loop.now(), System.currentTimeMillis());
         carryOut();
@@ -125,7 +126,8 @@
         var effects = core.drain();
         while (!effects.isEmpty()) {
             for (Effect e : effects) {
-                if (e instanceof Effect.Answer a) {
+                if (e instanceof Effect.Answer decided) {
+                    Effect.Answer a = decided.at(loop.now());
                     open.remove(a.request()).answer(a.status(), CBOR, a.body() == null ? EMPTY : Codec.encode(a.body()),
                             a.retryAfterS());
                 } else if (e instanceof Effect.Call c) {
@@ -159,11 +161,11 @@
             case CLOUD -> settings.cloud();
             case HOST -> Addresses.parse(c.address());
         };
-        if (address == null) {
+        if (address == null || c.expired(loop.now())) {
             loop.after(0, () -> core.outcome(loop.now(), System.currentTimeMillis(), c.id(), Outcome.NOT_SENT));
             return;
         }
-        client.request(address, c.method(), c.path(), c.body() == null ? null : Codec.encode(c.body()), c.timeoutMs(),
+        client.request(address, c.method(), c.path(), c.body() == null ? null : Codec.encode(c.body()), c.timeoutMs(), c.until(),
                 o -> core.outcome(loop.now(), System.currentTimeMillis(), c.id(), read(o)));
     }
 
--- a/src/main/java/org/beechhoist/local/LoopbackRegion.java
+++ b/src/main/java/org/beechhoist/local/LoopbackRegion.java
@@ -203,7 +203,7 @@
             InetSocketAddress at = serve(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), (q, body, answer) -> {
                 if (!r.gone && r.hangUntil <= now()) {
                     answer.with(q.target().equals("/orders") ? made[0].orders(now(), body)
-                            : new Reply(200, made[0].report()));
+                            : made[0].show());
                 }
             });
             made[0] = new Worker(m.name, at.getAddress().getHostAddress() + ":" + at.getPort(), m.type, m.zone, m.spot,
--- a/src/main/java/org/beechhoist/net/HttpClient.java
+++ b/src/main/java/org/beechhoist/net/HttpClient.java
@@ -11,6 +11,7 @@
 import java.util.Map;
 import org.beechhoist.http.HttpMessage;
 import org.beechhoist.http.HttpParser;
+import org.beechhoist.wire.Tick;
 
 /**
  * Requests to other services over kept connections, each with a deadline. Connections that nobody uses are kept up to
@@ -40,7 +41,7 @@
 
     private static final int MAX_PER_ADDRESS = 24;
 
-    private record Pending(String method, String path, byte[] body, Callback callback, Loop.Deadline[] deadline) {
+    private record Pending(String method, String path, byte[] body, Tick notAfter, Callback callback, Loop.Deadline[] deadline) {
     }
 
     private final class Pool {
@@ -67,10 +68,15 @@
         this.maxIdle = maxIdle;
     }
 
-    public void request(InetSocketAddress address, String method, String path, byte[] body, long timeoutMs,
+    public void request(InetSocketAddress address, String method, String path, byte[] body, long timeoutMs, Callback callback) {
+        request(address, method, path, body, timeoutMs, null, callback);
+    }
+
+    /** @param notAfter from then on it is not written any more, null: no bound; connecting may take a while */
+    public void request(InetSocketAddress address, String method, String path, byte[] body, long timeoutMs, Tick notAfter,
             Callback callback) {
         Pool pool = pools.computeIfAbsent(address, Pool::new);
-        Pending p = new Pending(method, path, body, callback, new Loop.Deadline[1]);
+        Pending p = new Pending(method, path, body, notAfter, callback, new Loop.Deadline[1]);
         Conn conn = idle(pool);
         if (conn == null && pool.open >= MAX_PER_ADDRESS) {
             pool.waiting.add(p);
@@ -152,6 +158,10 @@
         }
 
         void write() {
+            if (current.notAfter != null && !loop.now().before(current.notAfter)) {
+                fail();
+                return;
+            }
             written = true;
             byte[] body = current.body == null ? new byte[0] : current.body;
             String head = current.method + " " + current.path + " HTTP/1.1\r\nHost: " + pool.address.getHostString()
--- a/src/main/java/org/beechhoist/net/HttpServer.java
+++ b/src/main/java/org/beechhoist/net/HttpServer.java
@@ -28,6 +28,9 @@
     }
 
     private static final long IDLE_MS = 300_000;
+    /** A connection that has been used within this time is not closed for another's sake. */
+    private static final long QUIET_MS = 10_000;
+    private static final long PAUSE_MS = 50;
     /** A request that has begun must be whole by then, so that slow senders hold no sockets. */
     private static final long PARTIAL_MS = 15_000;
     private static final Map<Integer, String> REASONS = Map.ofEntries(Map.entry(200, "OK"),
@@ -40,7 +43,10 @@
     private final Handler handler;
     private final int maxBody;
     private final int maxConnections;
+    /** From here on connections are closed after their answer. */
+    private final int crowded;
     private final InetSocketAddress address;
+    private final Acceptor acceptor;
     private final LinkedHashSet<Conn> connections = new LinkedHashSet<>();
 
     public HttpServer(Loop loop, InetSocketAddress address, int maxBody, int maxConnections, Handler handler)
@@ -49,11 +55,12 @@
         this.handler = handler;
         this.maxBody = maxBody;
         this.maxConnections = maxConnections;
+        this.crowded = maxConnections - Math.min(maxConnections / 2, Math.max(8, maxConnections / 8));
         ServerSocketChannel listener = ServerSocketChannel.open();
         listener.setOption(StandardSocketOptions.SO_REUSEADDR, true);
         listener.bind(address, 1024);
         this.address = (InetSocketAddress) listener.getLocalAddress();
-        Acceptor acceptor = new Acceptor(listener);
+        acceptor = new Acceptor(listener);
         acceptor.key = loop.register(listener, SelectionKey.OP_ACCEPT, acceptor);
         loop.after(5000, this::sweep);
     }
@@ -83,6 +90,7 @@
     private final class Acceptor implements Loop.Ready {
         private final ServerSocketChannel listener;
         private SelectionKey key;
+        private boolean paused;
 
         Acceptor(ServerSocketChannel listener) {
             this.listener = listener;
@@ -91,11 +99,14 @@
         @Override
         public void ready(SelectionKey k) throws IOException {
             for (int i = 0; i < 64; i++) {
+                if (!room()) {
+                    pause(PAUSE_MS); // the next answer makes room: beyond the crowded mark each closes its connection
+                    return;
+                }
                 SocketChannel ch = listener.accept();
                 if (ch == null) {
                     return;
                 }
-                makeRoom();
                 ch.setOption(StandardSocketOptions.TCP_NODELAY, true);
                 Conn c = new Conn(ch);
                 c.key = loop.register(ch, SelectionKey.OP_READ, c);
@@ -103,24 +114,43 @@
             }
         }
 
-        /** A full table closes the longest idle connection rather than refuse a new one. */
-        private void makeRoom() {
+        /**
+         * Whether one more connection may be taken. A full table closes one that has been quiet for long; one that was used
+         * lately may have its next request on the way, and closed under it, its client would take that for a failure.
+         */
+        private boolean room() {
             if (connections.size() < maxConnections) {
-                return;
+                return true;
             }
             for (Conn c : connections) {
                 if (!c.busy) {
+                    if (loop.now().since(c.lastHeard) < QUIET_MS) {
+                        return false;
+                    }
                     c.drop();
-                    return;
+                    return true;
                 }
             }
+            return false;
+        }
+
+        private void pause(long ms) {
+            key.interestOps(0);
+            paused = true;
+            loop.after(ms, this::resume);
+        }
+
+        private void resume() {
+            if (paused && key.isValid()) {
+                paused = false;
+                key.interestOps(SelectionKey.OP_ACCEPT);
+            }
         }
 
         @Override
         public void broken(IOException cause) {
             // No sockets left: the listener stays ready, so asking again at once would spin.
-            key.interestOps(0);
-            loop.after(100, () -> key.interestOps(SelectionKey.OP_ACCEPT));
+            pause(100);
         }
     }
 
@@ -160,6 +190,9 @@
                 return;
             }
             busy = false;
+            // With more workers than sockets each gets its turn: told so, a client comes again at once, while one whose
+            // connection is closed under its next request takes that for a failure and looks for another node.
+            closeAfter |= connections.size() > crowded;
             StringBuilder head = new StringBuilder(128).append("HTTP/1.1 ").append(status).append(' ')
                     .append(REASONS.getOrDefault(status, "Status")).append("\r\nContent-Type: ").append(type)
                     .append("\r\nContent-Length: ").append(body.length).append("\r\n");
@@ -199,7 +232,9 @@
 
         private void drop() {
             close();
-            connections.remove(this);
+            if (connections.remove(this)) {
+                acceptor.resume();
+            }
         }
     }
 }
--- a/src/main/java/org/beechhoist/peer/PeerCodec.java
+++ b/src/main/java/org/beechhoist/peer/PeerCodec.java
@@ -5,7 +5,9 @@
 import java.io.InputStream;
 import java.io.UncheckedIOException;
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
 import java.util.Arrays;
+import java.util.List;
 import org.apache.avro.Schema;
 import org.apache.avro.SchemaNormalization;
 import org.apache.avro.generic.GenericData;
@@ -16,6 +18,7 @@
 import org.apache.avro.io.DecoderFactory;
 import org.apache.avro.io.EncoderFactory;
 import org.beechhoist.wire.Baton;
+import org.beechhoist.wire.JobRef;
 import org.beechhoist.wire.Malformed;
 
 /**
@@ -24,7 +27,8 @@
  */
 public final class PeerCodec {
     private static final int FINGERPRINT = 8;
-    private static final int MAX_BYTES = 4096;
+    /** A leader tells of some hundred jobs at once. */
+    public static final int MAX_BYTES = 64 * 1024;
 
     private final Schema schema;
     private final byte[] fingerprint = new byte[FINGERPRINT];
@@ -48,6 +52,18 @@
         r.put("baton", s.baton().value());
         r.put("storeAnswersMs", s.storeAnswersMs());
         r.put("ready", s.ready());
+        r.put("reportsHeard", s.reportsHeard());
+        r.put("writesWanted", s.writesWanted());
+        Schema count = schema.getField("counts").schema().getElementType();
+        List<GenericRecord> counts = new ArrayList<>();
+        for (JobCount c : s.counts()) {
+            GenericRecord n = new GenericData.Record(count);
+            n.put("job", c.job().text());
+            n.put("done", c.done());
+            n.put("running", c.running());
+            counts.add(n);
+        }
+        r.put("counts", counts);
         ByteArrayOutputStream out = new ByteArrayOutputStream(64);
         out.writeBytes(fingerprint);
         BinaryEncoder encoder = EncoderFactory.get().directBinaryEncoder(out, null);
@@ -68,8 +84,14 @@
         try {
             GenericRecord r = new GenericDatumReader<GenericRecord>(schema).read(null,
                     DecoderFactory.get().binaryDecoder(bytes, FINGERPRINT, bytes.length - FINGERPRINT, null));
+            List<JobCount> counts = new ArrayList<>();
+            for (Object o : (List<?>) r.get("counts")) {
+                GenericRecord n = (GenericRecord) o;
+                counts.add(new JobCount(new JobRef(n.get("job").toString()), (Integer) n.get("done"), (Integer) n.get("running")));
+            }
             return new PeerState(r.get("node").toString(), (Boolean) r.get("leading"),
-                    new Baton((Long) r.get("baton")), (Long) r.get("storeAnswersMs"), (Boolean) r.get("ready"));
+                    new Baton((Long) r.get("baton")), (Long) r.get("storeAnswersMs"), (Boolean) r.get("ready"),
+                    (Integer) r.get("reportsHeard"), (Double) r.get("writesWanted"), counts);
         } catch (IOException | RuntimeException e) {
             throw new Malformed("not a record");
         }
--- a/src/main/java/org/beechhoist/peer/PeerState.java
+++ b/src/main/java/org/beechhoist/peer/PeerState.java
@@ -1,7 +1,16 @@
 package org.beechhoist.peer;
 
+import java.util.List;
 import org.beechhoist.wire.Baton;
 
-/** What a controller tells the others of itself. */
-public record PeerState(String node, boolean leading, Baton baton, long storeAnswersMs, boolean ready) {
+/**
+ * What a controller tells the others of itself.
+ *
+ * @param storeAnswersMs since the state service last served it
+ * @param reportsHeard from workers, in the time in which each of them sends one, whether answered or turned away
+ * @param writesWanted changes a second that it would make if it might
+ * @param counts of open jobs, from a leader
+ */
+public record PeerState(String node, boolean leading, Baton baton, long storeAnswersMs, boolean ready, int reportsHeard, double writesWanted,
+        List<JobCount> counts) {
 }
--- a/src/main/java/org/beechhoist/plan/Plan.java
+++ b/src/main/java/org/beechhoist/plan/Plan.java
@@ -418,7 +418,7 @@
     private static long fit(PlanHost h, Profile team, Profile cap, long at, long length, JobSpec s) {
         long start = at;
         while (true) {
-            start = h.profile.earliest(start, length, s.cpus(), s.gpus(), s.memGb());
+            start = h.earliest(start, length, s.cpus(), s.gpus(), s.memGb());
             long allowed = start;
             if (team != null && allowed != Profile.NEVER) {
                 allowed = team.earliest(allowed, length, s.cpus(), s.gpus(), 0);
--- a/src/main/java/org/beechhoist/plan/PlanHost.java
+++ b/src/main/java/org/beechhoist/plan/PlanHost.java
@@ -2,6 +2,7 @@
 
 import java.util.HashMap;
 import java.util.Map;
+import java.util.Set;
 import org.beechhoist.wire.HostId;
 import org.beechhoist.wire.HostType;
 
@@ -14,7 +15,17 @@
     final boolean up;
     final long readyMs;
     Profile profile;
-    private Map<String, Long> imageReady = new HashMap<>();
+    /** The last answer of {@link #earliest}, for which need, and how often the profile had been changed then. */
+    private long found;
+    private long foundFor;
+    private long foundAt = Long.MIN_VALUE;
+    private double foundCpus;
+    private double foundGpus;
+    private double foundMem;
+    private int foundChanges = -1;
+    /** Images that it holds; and those that it will hold from a time on. */
+    private Set<String> held = Set.of();
+    private Map<String, Long> imageReady = new HashMap<>(4);
     private final double costPerCpu;
     /** Whether elastic jobs may grow onto it. */
     boolean widens;
@@ -47,13 +58,38 @@
         profile.take(readyMs, endMs, cpus, gpus, memGb);
     }
 
+    /** It holds these images now; the set is not changed here. */
+    public void holds(Set<String> images) {
+        held = images;
+    }
+
     /** It holds the image from {@code atMs} on. */
     public void image(String image, long atMs) {
         imageReady.merge(image, atMs, Math::min);
     }
 
+    /** The earliest start from {@code at} on; jobs of one class ask the same of a machine one after the other. */
+    long earliest(long at, long length, double c, double g, double m) {
+        boolean grows = profile.grows();
+        if (foundChanges == profile.changes() && foundAt == at && c == foundCpus && g == foundGpus && m == foundMem
+                && (grows || length == foundFor)) {
+            return found;
+        }
+        found = profile.earliest(at, length, c, g, m);
+        foundFor = length;
+        foundAt = at;
+        foundCpus = c;
+        foundGpus = g;
+        foundMem = m;
+        foundChanges = profile.changes();
+        return found;
+    }
+
     /** How long a task that starts at {@code startMs} waits for its image. */
     long fetchMs(String image, double gb, long startMs) {
+        if (held.contains(image)) {
+            return 0;
+        }
         Long at = imageReady.get(image);
         return at != null ? Math.max(0, at - startMs) : Math.round(1000 * gb / type.fetchGbPerS());
     }
@@ -66,6 +102,7 @@
         PlanHost h = new PlanHost(id, type, zone, spot, up, readyMs);
         h.widens = widens;
         h.profile = new Profile(profile);
+        h.held = held;
         h.imageReady = new HashMap<>(imageReady);
         return h;
     }
--- a/src/main/java/org/beechhoist/plan/Profile.java
+++ b/src/main/java/org/beechhoist/plan/Profile.java
@@ -12,6 +12,9 @@
     private double[] gpus = new double[8];
     private double[] mem = new double[8];
     private int steps;
+    private int changes;
+    /** Nothing was taken but from the beginning on: what is free only grows, and a gap never ends. */
+    private boolean grows = true;
 
     Profile(long start, double cpus, double gpus, double mem) {
         from[0] = start;
@@ -27,6 +30,8 @@
         gpus = o.gpus.clone();
         mem = o.mem.clone();
         steps = o.steps;
+        changes = o.changes;
+        grows = o.grows;
     }
 
     private boolean room(int i, double c, double g, double m) {
@@ -53,6 +58,8 @@
         if (end <= start) {
             return;
         }
+        changes++;
+        grows &= start <= from[0];
         int a = split(start);
         int b = split(end);
         for (int i = a; i < b; i++) {
@@ -62,6 +69,16 @@
         }
     }
 
+    /** How often something was taken. */
+    int changes() {
+        return changes;
+    }
+
+    /** Whether what is free only grows, so that room at one time is room ever after. */
+    boolean grows() {
+        return grows;
+    }
+
     /** From when on everything is free that ever will be. */
     long lastChange() {
         return from[steps - 1];
--- a/src/main/java/org/beechhoist/standin/Worker.java
+++ b/src/main/java/org/beechhoist/standin/Worker.java
@@ -229,9 +229,18 @@
         changed = true;
     }
 
+    /** The answer to {@code GET /show}: its report, which is none of its own. */
+    public Reply show() {
+        return new Reply(200, describe());
+    }
+
     /** The next report. */
     public ObjectNode report() {
         changed = false;
+        return describe();
+    }
+
+    private ObjectNode describe() {
         ObjectNode n = Codec.map().put("host", name).put("address", address).put("hosttype", type.name())
                 .put("yard", zone).put("loaner", spot).put("shift", shift).put("counter", ++counter)
                 .put("baton", baton).put("warningS", noticeS);
--- a/src/main/java/org/beechhoist/store/Budget.java
+++ b/src/main/java/org/beechhoist/store/Budget.java
@@ -8,6 +8,7 @@
     private double most;
     private double tokens;
     private Tick last = Tick.ZERO;
+    private double wanted;
 
     public Budget(double rate) {
         this.rate = rate;
@@ -22,6 +23,11 @@
         tokens = Math.min(tokens, most);
     }
 
+    /** What may be taken at once after a quiet while. */
+    public double most() {
+        return most;
+    }
+
     public double rate() {
         return rate;
     }
@@ -33,6 +39,18 @@
         last = now;
     }
 
+    /** Somebody would have taken that, and did not try, for it was not there. */
+    public void missed(double n) {
+        wanted += n;
+    }
+
+    /** What was taken, tried or missed since the last call. */
+    public double takeWanted() {
+        double n = wanted;
+        wanted = 0;
+        return n;
+    }
+
     /** How much may be taken now. */
     public double available(Tick now) {
         refill(now);
@@ -41,6 +59,7 @@
 
     public boolean tryTake(Tick now, double n) {
         refill(now);
+        wanted += n;
         if (tokens < n) {
             return false;
         }
@@ -50,6 +69,7 @@
 
     public void take(Tick now, double n) {
         refill(now);
+        wanted += n;
         tokens = Math.max(-rate, tokens - n);
     }
 }
--- /dev/null
+++ b/src/main/java/org/beechhoist/store/Delta.java
@@ -0,0 +1,105 @@
+package org.beechhoist.store;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.ArrayList;
+import java.util.List;
+import org.beechhoist.wire.Codec;
+import org.beechhoist.wire.HostId;
+import org.beechhoist.wire.JobRef;
+import org.beechhoist.wire.Malformed;
+import org.beechhoist.wire.TaskId;
+
+/**
+ * What changed of a job's tasks: placements that are new, tasks that are on no machine any more, and tasks that are done
+ * (and on no machine either). The next attempt's number comes with it, for attempts only grow.
+ *
+ * @param begins from here on the log says all that differs from the job's record; what older segments say counts no more
+ */
+public record Delta(long nextAttempt, List<Placement> placed, List<Integer> gone, TaskSet done, boolean begins) {
+    private static final int STRIDE = 4;
+
+    public boolean isEmpty() {
+        return placed.isEmpty() && gone.isEmpty() && done.size() == 0;
+    }
+
+    /** Bytes at most, in the form that limits count. */
+    int bytes(JobRef ref) {
+        int n = ref.text().length() + 60 + 8 * gone.size() + done.runBytes();
+        for (Placement p : placed) {
+            n += p.host.text().length() + Sizes.TASK_BYTES - 8;
+        }
+        return n;
+    }
+
+    /** As many parts as are needed for each to take about that many bytes; one where it does anyway. */
+    List<Delta> parts(JobRef ref, int most) {
+        if (bytes(ref) <= most || placed.size() + gone.size() <= 2) {
+            return List.of(this);
+        }
+        int half = placed.size() / 2;
+        int halfGone = gone.size() / 2;
+        List<Delta> out = new ArrayList<>(
+                new Delta(nextAttempt, placed.subList(0, half), gone.subList(0, halfGone), done, begins).parts(ref, most));
+        out.addAll(new Delta(nextAttempt, placed.subList(half, placed.size()), gone.subList(halfGone, gone.size()),
+                new TaskSet(), false).parts(ref, most));
+        return out;
+    }
+
+    /** Makes the record what it was when this was written, given what it was before. */
+    public void apply(JobRecord r) {
+        r.nextAttempt = Math.max(r.nextAttempt, nextAttempt);
+        gone.forEach(r.live::remove);
+        for (Placement p : placed) {
+            r.live.put(p.task.index(), p);
+        }
+        done.forEach(i -> {
+            r.done.add(i);
+            r.live.remove(i);
+        });
+    }
+
+    ObjectNode toNode() {
+        ObjectNode n = Codec.map().put("next", nextAttempt);
+        ArrayNode live = n.putArray("live");
+        placed.forEach(p -> live.add(p.task.index()).add(p.attempt).add(p.host.text()).add(p.placedS));
+        ArrayNode left = n.putArray("gone");
+        gone.forEach(left::add);
+        done.write(n);
+        if (begins) {
+            n.put("begins", true);
+        }
+        return n;
+    }
+
+    static Delta parse(JobRef ref, int tasks, JsonNode n) throws Malformed {
+        JsonNode live = n.path("live");
+        JsonNode left = n.path("gone");
+        if (!live.isArray() || live.size() % STRIDE != 0 || !left.isArray()) {
+            throw new Malformed("placed and gone tasks expected");
+        }
+        List<Placement> placed = new ArrayList<>();
+        for (int i = 0; i < live.size(); i += STRIDE) {
+            int index = index(live.get(i), tasks);
+            if (!live.get(i + 1).canConvertToLong() || !live.get(i + 2).isTextual()) {
+                throw new Malformed("live: attempt and machine of task " + index + " expected");
+            }
+            Placement p = new Placement(new TaskId(ref, index), live.get(i + 1).longValue(), new HostId(live.get(i + 2).textValue()));
+            p.placedS = live.get(i + 3).intValue();
+            placed.add(p);
+        }
+        List<Integer> gone = new ArrayList<>();
+        for (JsonNode g : left) {
+            gone.add(index(g, tasks));
+        }
+        return new Delta(Codec.count(n, "next", 1, Long.MAX_VALUE), placed, gone, TaskSet.parse(n, tasks), n.path("begins").asBoolean());
+    }
+
+    private static int index(JsonNode n, int tasks) throws Malformed {
+        if (!n.isInt() || n.intValue() < 0 || n.intValue() >= tasks) {
+            throw new Malformed("task " + n + " of " + tasks);
+        }
+        return n.intValue();
+    }
+}
--- a/src/main/java/org/beechhoist/store/JobRecord.java
+++ b/src/main/java/org/beechhoist/store/JobRecord.java
@@ -23,20 +23,6 @@
 public final class JobRecord {
     public static final String OPEN = "jo/";
     public static final String ENDED = "je/";
-    /** At most this many tasks live in the record itself: about 29 bytes each. */
-    private static final int INLINE_TASKS = 100;
-    private static final int CHUNK_TASKS = 200;
-    /**
-     * Tasks start only this close behind the first unfinished one. It bounds the chunks that one transaction may touch:
-     * 9 at most, 1,600 live tasks of 29 bytes in 46 KiB of the 64 KiB that a transaction may have, and 11 changes of the
-     * 16. Without it a job whose tasks end in odd order could outgrow a transaction and would never be written again.
-     * The finished tasks within it take 200 bytes as a bitmap, those before it next to nothing.
-     */
-    public static final int WINDOW = 1600;
-    /** The smallest limits of a state service that these sizes fit. */
-    public static final int LEAST_VALUE_KB = 8;
-    public static final int LEAST_TXN_OPS = 16;
-
     /** Fields of a live task; records of the first version had three, without the time. */
     private static final int STRIDE = 4;
 
@@ -53,6 +39,9 @@
     public String reason;
     /** Null for a job that was never given one: as many of its tasks may be on machines as there are. */
     public WidthRecord width;
+    /** The number of the newest log segment whose news of this job are in the record. */
+    public long folded;
+    public Sizes sizes = Sizes.USUAL;
 
     public JobRecord(JobSpec spec, long submittedWallMs) {
         this.spec = spec;
@@ -77,11 +66,11 @@
     }
 
     public boolean chunked() {
-        return spec.tasks() > INLINE_TASKS;
+        return spec.tasks() > sizes.inline();
     }
 
     public String chunkKey(int task) {
-        return openKey(spec.ref()) + "/" + String.format("%04d", task / CHUNK_TASKS);
+        return openKey(spec.ref()) + "/" + String.format("%04d", task / sizes.chunk());
     }
 
     /** The record's own value. */
@@ -93,6 +82,9 @@
         if (cancelled()) {
             n.put("cancel", cancelWallMs);
         }
+        if (folded > 0) {
+            n.put("folded", folded);
+        }
         if (failures > 0) {
             n.put("failures", failures).put("reason", reason);
         }
@@ -135,6 +127,7 @@
         r.nextAttempt = Codec.count(n, "next", 1, Long.MAX_VALUE);
         r.done = TaskSet.parse(n, r.spec.tasks());
         r.cancelWallMs = n.path("cancel").longValue();
+        r.folded = n.path("folded").longValue();
         r.failures = n.path("failures").intValue();
         r.reason = n.path("reason").textValue();
         r.width = Codec.absent(n, "width") ? null : WidthRecord.parse(n.get("width"));
@@ -161,7 +154,7 @@
     public List<Integer> waiting(int most) {
         List<Integer> out = new ArrayList<>();
         int first = done.firstMissing(0);
-        int end = Math.min(spec.tasks(), first + WINDOW);
+        int end = Math.min(spec.tasks(), first + sizes.window());
         for (int i = first; i < end && out.size() < most; i = done.firstMissing(i + 1)) {
             if (!live.containsKey(i)) {
                 out.add(i);
--- /dev/null
+++ b/src/main/java/org/beechhoist/store/LogSegment.java
@@ -0,0 +1,108 @@
+package org.beechhoist.store;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.BiConsumer;
+import java.util.function.ToIntFunction;
+import org.beechhoist.wire.Codec;
+import org.beechhoist.wire.JobRef;
+import org.beechhoist.wire.Malformed;
+
+/**
+ * What changed of many jobs' tasks, in one value: {@code log/<slot>}. Segments are numbered as they are written; a job's
+ * record says up to which number it holds what the log says.
+ */
+public record LogSegment(long number, Map<JobRef, Delta> jobs) {
+    public static final String PREFIX = "log/";
+
+    public static String key(int slot) {
+        return PREFIX + String.format("%04d", slot);
+    }
+
+    public ObjectNode toNode() {
+        ObjectNode n = Codec.map().put("seq", number);
+        ObjectNode all = n.putObject("jobs");
+        jobs.forEach((ref, d) -> all.set(ref.text(), d.toNode()));
+        return n;
+    }
+
+    /**
+     * @param tasks the number of a job's tasks; below 0 for a job that is not open any more: what is said of it is over
+     * @param unreadable receives the jobs whose part can't be read
+     */
+    public static LogSegment parse(JsonNode n, ToIntFunction<JobRef> tasks, Set<JobRef> unreadable) throws Malformed {
+        if (n == null || !n.path("jobs").isObject()) {
+            throw new Malformed("not a log segment");
+        }
+        Map<JobRef, Delta> jobs = new LinkedHashMap<>();
+        for (Map.Entry<String, JsonNode> e : n.get("jobs").properties()) {
+            JobRef ref = new JobRef(e.getKey());
+            int count = tasks.applyAsInt(ref);
+            if (count >= 0) {
+                try {
+                    jobs.put(ref, Delta.parse(ref, count, e.getValue()));
+                } catch (Malformed m) {
+                    unreadable.add(ref);
+                }
+            }
+        }
+        return new LogSegment(Codec.count(n, "seq", 1, Long.MAX_VALUE), jobs);
+    }
+
+    /** Puts deltas into as few segments as hold them, each within a value's limit. */
+    public static final class Writer {
+        private final int most;
+        private final List<Map<JobRef, Delta>> segments = new ArrayList<>();
+        private int bytes;
+
+        public Writer(int mostBytes) {
+            this.most = mostBytes;
+        }
+
+        /** How many segments there would be with it, too. */
+        public int with(JobRef ref, Delta d) {
+            return walk(ref, d, (n, part) -> { });
+        }
+
+        public void add(JobRef ref, Delta d) {
+            walk(ref, d, (n, part) -> {
+                if (n > segments.size()) {
+                    segments.add(new LinkedHashMap<>());
+                    bytes = 0;
+                }
+                bytes += part.bytes(ref);
+                segments.get(n - 1).put(ref, part);
+            });
+        }
+
+        /** Hands over each part with the number of segments that it makes; parts of one job never share one. */
+        private int walk(JobRef ref, Delta d, BiConsumer<Integer, Delta> then) {
+            int n = segments.size();
+            int filled = bytes;
+            boolean first = true;
+            for (Delta part : d.parts(ref, most)) {
+                int size = part.bytes(ref);
+                boolean fits = first && n > 0 && filled + size <= most;
+                filled = fits ? filled + size : size;
+                n += fits ? 0 : 1;
+                first = false;
+                then.accept(n, part);
+            }
+            return n;
+        }
+
+        public int size() {
+            return segments.size();
+        }
+
+        /** The segments' jobs, in the order of their numbers. */
+        public List<Map<JobRef, Delta>> segments() {
+            return segments;
+        }
+    }
+}
--- a/src/main/java/org/beechhoist/store/TaskSet.java
+++ b/src/main/java/org/beechhoist/store/TaskSet.java
@@ -7,6 +7,7 @@
 import java.nio.ByteBuffer;
 import java.util.Base64;
 import java.util.function.BiConsumer;
+import java.util.function.IntConsumer;
 import org.beechhoist.wire.Codec;
 import org.beechhoist.wire.Malformed;
 import org.roaringbitmap.RoaringBitmap;
@@ -45,6 +46,28 @@
         return (int) bits.nextAbsentValue(i);
     }
 
+    TaskSet copy() {
+        return new TaskSet(bits.clone());
+    }
+
+    TaskSet plus(TaskSet other) {
+        return new TaskSet(RoaringBitmap.or(bits, other.bits));
+    }
+
+    TaskSet minus(TaskSet other) {
+        return new TaskSet(RoaringBitmap.andNot(bits, other.bits));
+    }
+
+    void forEach(IntConsumer action) {
+        bits.forEach((org.roaringbitmap.IntConsumer) action::accept);
+    }
+
+    /** Bytes that its written form takes at most. */
+    int runBytes() {
+        int[] n = new int[1];
+        return runs(bits, MAX_RUNS, (a, b) -> n[0]++) ? 14 * n[0] : 2 * bits.serializedSizeInBytes() + 20;
+    }
+
     /** Writes the set as {@code done} and, where that is shorter, {@code doneBits}; and its size as {@code doneCount}. */
     void write(ObjectNode record) {
         ArrayNode runs = record.putArray("done");
--- a/src/main/java/org/beechhoist/wire/Codec.java
+++ b/src/main/java/org/beechhoist/wire/Codec.java
@@ -9,6 +9,7 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import com.fasterxml.jackson.dataformat.cbor.CBORFactory;
 import java.io.IOException;
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
 
@@ -31,6 +32,11 @@
         return JsonNodeFactory.instance.arrayNode();
     }
 
+    /** Bytes of a value as the platform's limits count them: in the form of JSON, whatever is sent. */
+    public static int countedBytes(JsonNode value) {
+        return value.toString().getBytes(StandardCharsets.UTF_8).length;
+    }
+
     public static byte[] encode(JsonNode node) {
         try {
             return CBOR.writeValueAsBytes(node);
--- /dev/null
+++ b/src/test/java/org/beechhoist/regress/RegressTest.java
@@ -0,0 +1,68 @@
+package org.beechhoist.regress;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import picocli.CommandLine;
+
+class RegressTest {
+    @TempDir
+    private Path dir;
+
+    private void entry(String time, String site, String arg, double score, double aim, boolean broken) throws IOException {
+        ObjectNode n = new ObjectMapper().createObjectNode().put("sim", true).put("site", site);
+        n.putArray("argv").add(site).add(arg);
+        ObjectNode day = n.putArray("days").addObject().put("name", "rough").put("day", "d1").put("seed", 13).put("score", score).putNull("fault");
+        ObjectNode rules = day.putObject("rules");
+        if (broken) {
+            rules.put("ran_twice", 2);
+        }
+        day.putArray("aims").addArray().add("wait sign 3 s: " + aim + " (aim 0.9)").add(aim);
+        Files.writeString(dir.resolve(time + ".json"), n.toString());
+    }
+
+    private int compare() {
+        return new CommandLine(new Regress()).execute("--compare-only", "--journal", dir.toString());
+    }
+
+    @Test
+    void whatFallsOrBreaksKeepsAChangeFromLanding() throws IOException {
+        entry("1", "one", "--quick", 0.80, 0.70, false);
+        entry("2", "one", "--quick", 0.78, 0.72, false);
+        assertEquals(0, compare(), "0.02 is within the bound");
+        entry("3", "one", "--quick", 0.74, 0.72, false);
+        assertEquals(1, compare(), "the day fell by 0.04");
+        entry("4", "one", "--quick", 0.75, 0.60, false);
+        assertEquals(1, compare(), "an aim fell by 0.12");
+        entry("5", "one", "--no-cpu", 0.30, 0.10, false);
+        entry("6", "one", "--quick", 0.75, 0.61, false);
+        assertEquals(0, compare(), "a run without processor time is no measure");
+        entry("7", "two", "--quick", 0.10, 0.10, false);
+        assertEquals(0, compare(), "another site has nothing to fall from");
+        entry("8", "two", "--quick", 0.90, 0.90, true);
+        assertEquals(1, compare(), "a rule broke, whatever the figure");
+    }
+
+    @Test
+    void withoutTheBenchItSaysSo() {
+        assertEquals(3, new CommandLine(new Regress()).execute("--kit", dir.toString()));
+        assertEquals(2, new CommandLine(new Regress()).execute("--quick", "--full"));
+    }
+
+    @Test
+    void fleetSitesAreOwedWhereMachinesMeet() {
+        assertTrue(Regress.fleetToo(null));
+        assertTrue(Regress.fleetToo(List.of("README.md", "src/main/java/org/beechhoist/store/Budget.java")));
+        assertTrue(Regress.fleetToo(List.of("src/main/resources/peer.avsc")));
+        assertFalse(Regress.fleetToo(List.of("README.md", "docs/design.md", "src/main/java/org/beechhoist/cli/Try.java")));
+    }
+}
