--- a/src/main/java/org/beechhoist/core/Committer.java
+++ b/src/main/java/org/beechhoist/core/Committer.java
@@ -162,17 +162,15 @@
         List<Due> due = new ArrayList<>();
         List<Job> rest = new ArrayList<>();
         for (Job j : new ArrayList<>(book.dirty())) {
-            if (way(j) == Batch.Way.LOG && j.stored.until(j.record).isEmpty()) {
-                book.sent(j); // it was touched, and is as the state service holds it
-                j.inFlight = false;
-                continue;
-            }
             int rank = commitRank(j);
             // A finished task frees its machine without this: the worker's report proves it, to a later leader too.
-            if (rank < GATHERED || (spare && turn.now().since(j.dirtySince) >= GATHER_MS)) {
-                due.add(new Due(j, rank));
-            } else {
+            if (rank == GATHERED && !(spare && turn.now().since(j.dirtySince) >= GATHER_MS)) {
                 rest.add(j);
+            } else if (way(j) == Batch.Way.LOG && j.stored.until(j.record).isEmpty()) {
+                book.sent(j); // it was touched, and is as the state service holds it
+                j.inFlight = false;
+            } else {
+                due.add(new Due(j, rank));
             }
         }
         due.sort(Comparator.comparingInt(Due::rank).thenComparing(d -> d.job.dirtySince));
@@ -181,7 +179,7 @@
                 break; // let the budget fill up for it instead of spending it on smaller ones for ever
             }
         }
-        for (Job j : rest) {
+        for (Job j : batch.logged() == 0 ? List.<Job>of() : rest) {
             if (way(j) == Batch.Way.LOG && batch.free(j)) {
                 take(batch, j);
             }
--- a/src/main/java/org/beechhoist/core/Provisioner.java
+++ b/src/main/java/org/beechhoist/core/Provisioner.java
@@ -188,7 +188,8 @@
         });
         long blind = Math.round(1000 * (2 * settings.cloudLimits().listLagS() + 5));
         for (Host h : book.hosts()) {
-            boolean old = h.rentedAt != null && asked.since(h.rentedAt) > blind;
+            Tick since = h.rentedAt != null ? h.rentedAt : h.placements.isEmpty() ? asked : book.wonAt();
+            boolean old = asked.since(since) > blind;
             if (!found.containsKey(h.id) && old && turn.now().since(book.heard(h)) > 6000) {
                 giveBack(h, "the cloud doesn't list it any more");
             }
@@ -212,7 +213,9 @@
                 continue;
             }
             HostType t = types.get(h.type);
-            if (!h.up) {
+            if (!h.up && !h.placements.isEmpty() && silence.gone(h)) {
+                giveBack(h, "it holds tasks and has not reported to this leader");
+            } else if (!h.up) {
                 Tick since = h.rentedAt == null ? book.heard(h) : h.rentedAt;
                 double allowed = t == null ? 120 : Math.max(3 * t.startupS(), t.startupS() + 45);
                 if (turn.now().since(since) > 1000 * allowed && turn.now().since(book.heard(h)) > silence.missedMs()) {
--- a/src/main/java/org/beechhoist/core/Silence.java
+++ b/src/main/java/org/beechhoist/core/Silence.java
@@ -71,7 +71,7 @@
         int up = 0;
         int silent = 0;
         for (Host h : book.hosts()) {
-            if (!h.up || h.returning) {
+            if (!expected(h) || h.returning) {
                 continue;
             }
             long quiet = turn.now().since(book.heard(h));
@@ -89,6 +89,11 @@
         blind = silent > 2 && silent * 2 > up;
     }
 
+    /** Machines that should report: also those that never did to this leadership, but hold tasks or are listed as running. */
+    private static boolean expected(Host h) {
+        return h.up || h.listedUp || !h.placements.isEmpty();
+    }
+
     private void ask(Host h) {
         if (h.asked || asked >= MOST_ASKED || h.unanswered >= ENOUGH || h.address == null) {
             return;
--- a/src/test/java/org/beechhoist/sim/FallTrial.java
+++ b/src/test/java/org/beechhoist/sim/FallTrial.java
@@ -43,7 +43,7 @@
         }
     }
 
-    private static void arrive(World w) {
+    static void arrive(World w) {
         boolean urgent = w.random.nextInt(3) == 0;
         w.submit(urgent ? "fast" : "slow", false, w.random.nextInt(10, 70), w.random.nextInt(2, 5), w.random.nextInt(15, 50),
                 n -> n.put("owner", "blue").put("urgency", urgent ? "urgent" : "normal").put("loaner", true)
--- a/src/test/java/org/beechhoist/sim/World.java
+++ b/src/test/java/org/beechhoist/sim/World.java
@@ -74,6 +74,9 @@
         long cloudCalls;
         long direct;
         long checkins;
+        /** Processor time of all cores, and of it what check-ins took; for measurements alone, no test may depend on it. */
+        long coreNanos;
+        long checkinNanos;
         /** What the state service was asked in the second that goes on, and in the busiest one. */
         private long second;
         private long requestsInSecond;
@@ -256,7 +259,9 @@
                                 if (wakeAt == mine) {
                                     wakeAt = Long.MAX_VALUE;
                                 }
+                                long from = System.nanoTime();
                                 core.time(clock(), wall());
+                                counted.coreNanos += System.nanoTime() - from;
                                 carryOut();
                             });
                         }
@@ -266,7 +271,9 @@
         }
 
         private void outcome(long call, Outcome o) {
+            long from = System.nanoTime();
             core.outcome(clock(), wall(), call, o);
+            counted.coreNanos += System.nanoTime() - from;
             carryOut();
         }
 
@@ -274,7 +281,10 @@
             input(() -> {
                 long id = nextRequest++;
                 open.put(id, then);
+                long from = System.nanoTime();
                 core.request(clock(), wall(), id, method, path, body);
+                counted.coreNanos += System.nanoTime() - from;
+                counted.checkinNanos += path.equals("/checkin") ? System.nanoTime() - from : 0;
                 if (core != null) {
                     carryOut();
                 }
