Clean-up: one bounded memory for five, sizes worked out once, one way to draw large jobs

Read again after the change: five maps and sets that forget their oldest were written out each time (Recent now); Batch worked out the sizes that the leader knows at every commit, and was built before it was known whether anything may be written; the provisioner kept a copy of when the lead was won; FallTrial drew large jobs beside SimulationTest.

--- a/src/main/java/org/beechhoist/core/Batch.java
+++ b/src/main/java/org/beechhoist/core/Batch.java
@@ -63,9 +63,9 @@
     private int bytes;
 
     /** @param txn with the leader's guard in it; {@code mostOps} changes may be made by now */
-    Batch(Txn txn, Settings.State limits, TaskLog log, int mostOps) {
+    Batch(Txn txn, Settings.State limits, Sizes sizes, TaskLog log, int mostOps) {
         this.txn = txn;
-        this.sizes = Sizes.of(limits.valueBytes(), limits.txnOps());
+        this.sizes = sizes;
         this.log = log;
         this.mostOps = Math.min(limits.txnOps(), mostOps);
         this.mostGuards = 4 * limits.txnOps() - 1;
--- a/src/main/java/org/beechhoist/core/Book.java
+++ b/src/main/java/org/beechhoist/core/Book.java
@@ -1,7 +1,6 @@
 package org.beechhoist.core;
 
 import java.util.Collection;
-import java.util.Collections;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
@@ -29,12 +28,7 @@
     private final Set<Job> dirty = new LinkedHashSet<>();
     /** CPU milliseconds that each team has used, by this leadership's knowledge. */
     private final Map<String, Double> teamCpuMs = new HashMap<>();
-    private final Set<JobRef> ended = Collections.newSetFromMap(new LinkedHashMap<>() {
-        @Override
-        protected boolean removeEldestEntry(Map.Entry<JobRef, Boolean> eldest) {
-            return size() > REMEMBERED_ENDED;
-        }
-    });
+    private final Set<JobRef> ended = Recent.added(REMEMBERED_ENDED);
     private Tick wonAt = Tick.ZERO;
     private long reign;
     private boolean changed;
--- a/src/main/java/org/beechhoist/core/Committer.java
+++ b/src/main/java/org/beechhoist/core/Committer.java
@@ -8,6 +8,7 @@
 import org.beechhoist.config.Settings;
 import org.beechhoist.store.Budget;
 import org.beechhoist.store.Placement;
+import org.beechhoist.store.Sizes;
 import org.beechhoist.store.StoreClient;
 import org.beechhoist.store.StoreClient.Commit;
 import org.beechhoist.store.Txn;
@@ -62,6 +63,7 @@
     private final Budget writes;
     private final Book book;
     private final Loading loading;
+    private final Sizes sizes;
     private final TaskLog log;
     private final BooleanSupplier logAllowed;
     private final Listener listener;
@@ -73,7 +75,7 @@
 
     /** @param logAllowed whether every node that may lead reads the log */
     Committer(Turn turn, Settings settings, StoreClient store, Election election, Budget requests, Budget writes,
-            Book book, Loading loading, TaskLog log, BooleanSupplier logAllowed, Listener listener) {
+            Book book, Loading loading, Sizes sizes, TaskLog log, BooleanSupplier logAllowed, Listener listener) {
         this.turn = turn;
         this.settings = settings;
         this.store = store;
@@ -82,6 +84,7 @@
         this.writes = writes;
         this.book = book;
         this.loading = loading;
+        this.sizes = sizes;
         this.log = log;
         this.logAllowed = logAllowed;
         this.listener = listener;
@@ -109,14 +112,14 @@
             return;
         }
         double budget = writes.available(turn.now()) - Math.min(USERS_WRITES, USERS_SHARE * writes.most());
+        if (budget < 1) {
+            return;
+        }
         Txn txn = election.guarded();
         if (rotating) {
             election.rotateIn(txn);
         }
-        Batch batch = new Batch(txn, settings.stateLimits(), log, (int) Math.floor(budget));
-        if (budget < 1) {
-            return;
-        }
+        Batch batch = new Batch(txn, settings.stateLimits(), sizes, log, (int) Math.floor(budget));
         gather(batch, budget > KEPT_WRITES * writes.rate());
         if (foldDue) {
             fold(batch, budget > PLENTY * writes.most());
--- a/src/main/java/org/beechhoist/core/Leader.java
+++ b/src/main/java/org/beechhoist/core/Leader.java
@@ -81,7 +81,7 @@
                 elastic.look(j);
             }
         });
-        this.committer = new Committer(turn, settings, store, election, requests, writes, book, loading, log, peers::allHeard,
+        this.committer = new Committer(turn, settings, store, election, requests, writes, book, loading, sizes, log, peers::allHeard,
                 new Committer.Listener() {
                     @Override
                     public void placed(List<Placement> placed) {
--- a/src/main/java/org/beechhoist/core/Progress.java
+++ b/src/main/java/org/beechhoist/core/Progress.java
@@ -22,12 +22,7 @@
     private static final int REMEMBERED = 10_000;
     private static final long FRESH_MS = 12_000;
 
-    private final Map<JobRef, JobCount> heard = new LinkedHashMap<>(16, 0.75f, true) {
-        @Override
-        protected boolean removeEldestEntry(Map.Entry<JobRef, JobCount> eldest) {
-            return size() > REMEMBERED;
-        }
-    };
+    private final Map<JobRef, JobCount> heard = Recent.used(REMEMBERED);
     private Baton baton = Baton.NONE;
     private Tick heardAt = Tick.ZERO;
     /** What this node, leading, told last. */
--- a/src/main/java/org/beechhoist/core/Provisioner.java
+++ b/src/main/java/org/beechhoist/core/Provisioner.java
@@ -4,9 +4,7 @@
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.util.ArrayList;
-import java.util.Collections;
 import java.util.HashMap;
-import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -47,18 +45,12 @@
     private final Renting renting;
     private final Silence silence;
     private final Recovery recovery;
-    private final Set<HostId> gone = Collections.newSetFromMap(new LinkedHashMap<>() {
-        @Override
-        protected boolean removeEldestEntry(Map.Entry<HostId, Boolean> eldest) {
-            return size() > REMEMBERED_GONE;
-        }
-    });
+    private final Set<HostId> gone = Recent.added(REMEMBERED_GONE);
     private Tick nextTurn = Tick.ZERO;
     private Tick nextList = Tick.ZERO;
     private boolean listing;
     /** Whether this leadership has seen all machines once: before that, it would rent what it already has. */
     private boolean listed;
-    private Tick wonAt = Tick.ZERO;
     private int returnCalls;
 
     Provisioner(Turn turn, Settings settings, Policy policy, Election election, Types types, Book book, Ordering ordering,
@@ -83,7 +75,6 @@
         renting.reset(newBaton);
         gone.clear();
         listed = false;
-        wonAt = turn.now();
         listing = false;
         returnCalls = 0;
         silence.reset();
@@ -119,7 +110,7 @@
             list(); // with few calls, or a fall that takes long, everything else would always come first
         }
         sendReturns(true);
-        boolean oriented = listed || turn.now().since(wonAt) > FIRST_LIST_MS;
+        boolean oriented = listed || turn.now().since(book.wonAt()) > FIRST_LIST_MS;
         if (plan != null && oriented) {
             renting.rentFor(plan);
         }
--- /dev/null
+++ b/src/main/java/org/beechhoist/core/Recent.java
@@ -0,0 +1,32 @@
+package org.beechhoist.core;
+
+import java.util.Collections;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.Set;
+
+/** Memories of a bounded size, which forget what is oldest. */
+final class Recent {
+    private Recent() {
+    }
+
+    /** Keeps the entries that were used last. */
+    static <K, V> Map<K, V> used(int most) {
+        return new LinkedHashMap<>(16, 0.75f, true) {
+            @Override
+            protected boolean removeEldestEntry(Map.Entry<K, V> eldest) {
+                return size() > most;
+            }
+        };
+    }
+
+    /** Keeps what was added last. */
+    static <K> Set<K> added(int most) {
+        return Collections.newSetFromMap(new LinkedHashMap<>() {
+            @Override
+            protected boolean removeEldestEntry(Map.Entry<K, Boolean> eldest) {
+                return size() > most;
+            }
+        });
+    }
+}
--- a/src/main/java/org/beechhoist/core/StatusReads.java
+++ b/src/main/java/org/beechhoist/core/StatusReads.java
@@ -47,12 +47,7 @@
     private final StoreClient store;
     private final Budget requests;
     private final int mostGuards;
-    private final Map<JobRef, Known> known = new LinkedHashMap<>(16, 0.75f, true) {
-        @Override
-        protected boolean removeEldestEntry(Map.Entry<JobRef, Known> eldest) {
-            return size() > REMEMBERED;
-        }
-    };
+    private final Map<JobRef, Known> known = Recent.used(REMEMBERED);
     private List<Poll> waiting = new ArrayList<>();
     private boolean asking;
     private boolean timed;
--- a/src/main/java/org/beechhoist/core/UserApi.java
+++ b/src/main/java/org/beechhoist/core/UserApi.java
@@ -4,7 +4,6 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.util.ArrayList;
 import java.util.HashSet;
-import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -55,12 +54,7 @@
     private final Types types;
     /** Adds to an open job's state what this node knows beyond its record. */
     private final BiConsumer<JobRef, ObjectNode> promised;
-    private final Map<JobRef, JsonNode> ended = new LinkedHashMap<>(16, 0.75f, true) {
-        @Override
-        protected boolean removeEldestEntry(Map.Entry<JobRef, JsonNode> eldest) {
-            return size() > CACHED_ENDED;
-        }
-    };
+    private final Map<JobRef, JsonNode> ended = Recent.used(CACHED_ENDED);
     private final OnceKeys onceKeys;
     private final StatusReads reads;
     private final List<Submission> queue = new ArrayList<>();
--- a/src/test/java/org/beechhoist/sim/FallTrial.java
+++ b/src/test/java/org/beechhoist/sim/FallTrial.java
@@ -44,10 +44,7 @@
     }
 
     static void arrive(World w) {
-        boolean urgent = w.random.nextInt(3) == 0;
-        w.submit(urgent ? "fast" : "slow", false, w.random.nextInt(10, 70), w.random.nextInt(2, 5), w.random.nextInt(15, 50),
-                n -> n.put("owner", "blue").put("urgency", urgent ? "urgent" : "normal").put("loaner", true)
-                        .put("bundle", "img-" + w.random.nextInt(12)).put("dueS", 150.0));
+        SimulationTest.arriveLarge(w, 10, 70);
     }
 
     @Test
--- a/src/test/java/org/beechhoist/sim/SimulationTest.java
+++ b/src/test/java/org/beechhoist/sim/SimulationTest.java
@@ -192,8 +192,13 @@
     }
 
     private static void arriveLarge(World w) {
+        arriveLarge(w, 5, 80);
+    }
+
+    /** A job of that many tasks, the upper bound not among them. */
+    static void arriveLarge(World w, int least, int below) {
         boolean urgent = w.random.nextInt(3) == 0;
-        w.submit(urgent ? "fast" : "slow", false, w.random.nextInt(5, 80), w.random.nextInt(2, 5),
+        w.submit(urgent ? "fast" : "slow", false, w.random.nextInt(least, below), w.random.nextInt(2, 5),
                 w.random.nextInt(15, 50), n -> n.put("owner", "blue").put("urgency", urgent ? "urgent" : "normal")
                         .put("loaner", true).put("bundle", "img-" + w.random.nextInt(12)).put("dueS", 150.0));
     }
