--- a/src/main/java/org/beechhoist/regress/Comparison.java
+++ b/src/main/java/org/beechhoist/regress/Comparison.java
@@ -21,6 +21,10 @@
         List<String> lines = new ArrayList<>();
         boolean broke = false;
         boolean fell = false;
+        for (Served s : Served.near(now)) {
+            broke |= s.fails();
+            lines.add(s.line());
+        }
         for (Day d : now) {
             String title = d.site() + " " + d.name();
             Day old = null;
--- a/src/main/java/org/beechhoist/regress/Regress.java
+++ b/src/main/java/org/beechhoist/regress/Regress.java
@@ -87,7 +87,7 @@
         }
         Comparison.Result r = Comparison.of(before, now, bound);
         r.lines().forEach(System.out::println);
-        System.out.println(r.broke() ? "regress: a rule broke or a day failed" : r.fell() ? "regress: something fell by more than " + bound
+        System.out.println(r.broke() ? "regress: a rule broke, a day failed, or less than half of a class was served" : r.fell() ? "regress: something fell by more than " + bound
                 : "regress: nothing fell by more than " + bound);
         return r.broke() || r.fell() ? FELL : 0;
     }
