--- a/deploy/product.lua
+++ b/deploy/product.lua
@@ -6,6 +6,10 @@
   elastic_settle_s = 10,
   elastic_worth = 4,
 
+  -- What is known of machines is kept for the next leader; no class or team falls below its half for others.
+  fleet_notes = true,
+  served_floor = true,
+
   -- Cron tables and calendars; once_key makes submissions the same work, for a week unless its class says otherwise.
   cron = true,
   once_keep_s = 7 * 24 * 3600,
--- a/src/main/java/org/beechhoist/cli/UserCommands.java
+++ b/src/main/java/org/beechhoist/cli/UserCommands.java
@@ -166,7 +166,7 @@
             description = "Show the leader's plan, hosts or teams, or a node's metrics.")
     static final class View implements Callable<Integer> {
         /** The views there are. */
-        enum Name { plan, hosts, teams, falls, metrics }
+        enum Name { plan, hosts, teams, falls, start, served, metrics }
 
         @CommandLine.Mixin
         private Nodes nodes;
--- a/src/main/java/org/beechhoist/config/Policy.java
+++ b/src/main/java/org/beechhoist/config/Policy.java
@@ -7,11 +7,13 @@
  * What operators may set beyond the platform's file, by a Lua script; see README. Times are in seconds there.
  *
  * @param patience the share of a task's slack that it waits for a machine at the lowest price
+ * @param fleetNotes whether what is known of the machines is stored for the next leader
+ * @param servedFloor whether a class or team that falls below its half comes first
  * @param preemptCpuS work thrown away for one task's sake, in seconds of as many CPUs as it needs
  */
 public record Policy(int searchIterations, long searchMs, long searchEveryMs, Evaluation.Weights weights,
         double patience, double preemptCpuS, long idleSpotMs, long idleOrdinaryMs, long silentMs, Elastic elastic,
-        Cron cron) {
+        Cron cron, boolean fleetNotes, boolean servedFloor) {
     /**
      * Jobs whose width changes while they run.
      *
@@ -37,15 +39,20 @@
     }
 
     public static final Policy DEFAULT = new Policy(300, 500, 10_000, Evaluation.Weights.DEFAULT, 0.3, 30, 20_000,
-            4_000, 12_000, Elastic.OFF, Cron.OFF);
+            4_000, 12_000, Elastic.OFF, Cron.OFF, true, false);
 
     public Policy with(Elastic other) {
         return new Policy(searchIterations, searchMs, searchEveryMs, weights, patience, preemptCpuS, idleSpotMs,
-                idleOrdinaryMs, silentMs, other, cron);
+                idleOrdinaryMs, silentMs, other, cron, fleetNotes, servedFloor);
+    }
+
+    public Policy with(boolean notes, boolean floor) {
+        return new Policy(searchIterations, searchMs, searchEveryMs, weights, patience, preemptCpuS, idleSpotMs,
+                idleOrdinaryMs, silentMs, elastic, cron, notes, floor);
     }
 
     public Policy with(Cron other) {
         return new Policy(searchIterations, searchMs, searchEveryMs, weights, patience, preemptCpuS, idleSpotMs,
-                idleOrdinaryMs, silentMs, elastic, other);
+                idleOrdinaryMs, silentMs, elastic, other, fleetNotes, servedFloor);
     }
 }
--- a/src/main/java/org/beechhoist/core/Book.java
+++ b/src/main/java/org/beechhoist/core/Book.java
@@ -2,6 +2,7 @@
 
 import java.util.Collection;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.Map;
@@ -28,6 +29,8 @@
     private final Set<Job> dirty = new LinkedHashSet<>();
     /** CPU milliseconds that each team has used, by this leadership's knowledge. */
     private final Map<String, Double> teamCpuMs = new HashMap<>();
+    /** Jobs whose record, or part of the log, can't be read: only that it is there is known of them. */
+    private final Set<JobRef> unreadable = new HashSet<>();
     private final Set<JobRef> ended = Recent.added(REMEMBERED_ENDED);
     private Tick wonAt = Tick.ZERO;
     private long reign;
@@ -43,6 +46,7 @@
         reign++;
         wonAt = turn.now();
         jobs.clear();
+        unreadable.clear();
         hosts.clear();
         dirty.clear();
         teamCpuMs.clear();
@@ -82,6 +86,16 @@
         ended.add(j.ref());
     }
 
+    /** What is stored of the job can't be read: it is left alone, and so are its tasks. */
+    void leaveAlone(JobRef ref) {
+        jobs.remove(ref);
+        unreadable.add(ref);
+    }
+
+    boolean unreadable(JobRef ref) {
+        return unreadable.contains(ref);
+    }
+
     boolean hasEnded(JobRef ref) {
         return ended.contains(ref);
     }
@@ -90,6 +104,7 @@
     Map<JobRef, Job> dropJobs() {
         Map<JobRef, Job> old = new HashMap<>(jobs);
         jobs.clear();
+        unreadable.clear();
         dirty.clear();
         return old;
     }
--- a/src/main/java/org/beechhoist/core/Committer.java
+++ b/src/main/java/org/beechhoist/core/Committer.java
@@ -52,7 +52,7 @@
         void written(Job j);
 
         /** The job's final state is committed. */
-        void ended(JobRef ref, JsonNode state);
+        void ended(Job j, JsonNode state);
     }
 
     private final Turn turn;
@@ -267,7 +267,7 @@
                         p.job.version = c.revision();
                     } else if (p.way == Batch.Way.END) {
                         book.ended(p.job);
-                        listener.ended(p.job.ref(), p.job.record.endedNode(p.job.finalState()));
+                        listener.ended(p.job, p.job.record.endedNode(p.job.finalState()));
                         LOG.info("{} ended: {}", p.job.ref(), p.job.finalState());
                     }
                     if (p.way != Batch.Way.END && ends(p.job)) {
--- a/src/main/java/org/beechhoist/core/Controller.java
+++ b/src/main/java/org/beechhoist/core/Controller.java
@@ -37,7 +37,7 @@
     /** Submissions come in bursts: what a node may write at once after a quiet while. */
     private static final double LEAST_BURST = 8;
     private static final double SAFETY = 0.9;
-    private static final Set<String> VIEWS = Set.of("/v1/plan", "/v1/hosts", "/v1/teams", "/v1/falls", "/v1/metrics");
+    private static final Set<String> VIEWS = Set.of("/v1/plan", "/v1/hosts", "/v1/teams", "/v1/falls", "/v1/start", "/v1/served", "/v1/metrics");
     private static final String CRON = "/v1/cron";
     private static final String CALENDARS = "/v1/calendars";
     private static final long TELL_MS = 1000;
@@ -57,6 +57,7 @@
     private final Progress progress = new Progress();
     private final Hearing hearing;
     private double writesWanted;
+    private boolean sharesAsLeader;
     /** Null where it is off. */
     private final CronApi cron;
     private boolean seenStore;
@@ -116,6 +117,7 @@
     }
 
     private void share(boolean leads) {
+        sharesAsLeader = leads;
         int others = settings.nodes() - 1;
         double requestShare = others < 1 ? 1 : leads ? LEADER_SHARE : Math.min(LEADER_SHARE, LENT * (1 - LEADER_SHARE) / others);
         requests.setRate(SAFETY * requestShare * settings.stateLimits().rps(), 1);
@@ -127,7 +129,7 @@
     /** Once a second: tells the others, and takes up what they told. */
     private void tell() {
         writesWanted = Math.max(WANTED_BEFORE * writesWanted, writes.takeWanted() + leader.backlog());
-        share(election.leading());
+        share(election.valid());
         if (!settings.seeds().isEmpty()) {
             turn.tell(new PeerState(settings.node(), election.valid(), election.baton(), turn.now().since(storeServed),
                     types.known() && seenStore, hearing.lately(turn.now()), writesWanted, leader.active() ? progress.toTell(leader.book()) : List.of()));
@@ -151,9 +153,17 @@
         turn.after(TICK_MS, this::tick);
     }
 
+    /** A leader that stood still wakes with a leader's share of requests, and with all that users asked meanwhile: not its own any more. */
+    private void begin(Tick now, long wallMs) {
+        turn.begin(now, wallMs);
+        if (sharesAsLeader && !election.valid()) {
+            share(false);
+        }
+    }
+
     /** A deadline may have come. */
     public void time(Tick now, long wallMs) {
-        turn.begin(now, wallMs);
+        begin(now, wallMs);
         turn.runTimers();
         leader.settleTurn();
     }
@@ -169,7 +179,7 @@
     }
 
     public void outcome(Tick now, long wallMs, long call, Outcome o) {
-        turn.begin(now, wallMs);
+        begin(now, wallMs);
         turn.outcome(call, o);
         turn.runTimers();
         leader.settleTurn();
@@ -177,7 +187,7 @@
 
     /** What another controller said of itself. */
     public void peer(Tick now, long wallMs, PeerState state) {
-        turn.begin(now, wallMs);
+        begin(now, wallMs);
         peers.heard(state, now);
         progress.heard(state, now);
     }
@@ -193,7 +203,7 @@
 
     /** A request on the public address. Each is answered with one {@link Effect.Answer}, perhaps later. */
     public void request(Tick now, long wallMs, long id, String method, String target, byte[] body) {
-        turn.begin(now, wallMs);
+        begin(now, wallMs);
         turn.runTimers();
         int query = target.indexOf('?');
         String path = query < 0 ? target : target.substring(0, query);
@@ -230,7 +240,7 @@
             case "/checkin" -> checkin(id, body);
             case "/ready" -> turn.answer(id, ready() ? 200 : 503, null);
             case "/v1/metrics" -> turn.answer(id, 200, metrics.toNode());
-            case "/v1/plan", "/v1/hosts", "/v1/teams", "/v1/falls" -> view(id, path);
+            case "/v1/plan", "/v1/hosts", "/v1/teams", "/v1/falls", "/v1/start", "/v1/served" -> view(id, path);
             default -> job(id, path.substring("/v1/jobs/".length()), body);
         }
     }
@@ -265,7 +275,7 @@
     }
 
     private void view(long id, String path) {
-        if (!leader.active()) {
+        if (!(path.equals("/v1/start") ? election.valid() : leader.active())) {
             notLeader(id);
             return;
         }
@@ -274,6 +284,8 @@
             case "/v1/plan" -> Views.plan(leader, now);
             case "/v1/hosts" -> Views.hosts(leader, now);
             case "/v1/falls" -> leader.recovery().view();
+            case "/v1/start" -> leader.starting().view();
+            case "/v1/served" -> leader.floor() == null ? Codec.map() : leader.floor().view();
             default -> Views.teams(leader, settings);
         });
     }
--- a/src/main/java/org/beechhoist/core/Election.java
+++ b/src/main/java/org/beechhoist/core/Election.java
@@ -1,5 +1,6 @@
 package org.beechhoist.core;
 
+import com.fasterxml.jackson.databind.node.ObjectNode;
 import org.beechhoist.store.Budget;
 import org.beechhoist.store.StoreClient;
 import org.beechhoist.store.StoreClient.Commit;
@@ -21,6 +22,10 @@
     /** Covers the drift of two clocks, 0.05% each, and rounding. */
     private static final double DRIFT = 0.0015;
     private static final long MARGIN_MS = 300;
+    /** A node that ends again and again would take its own key back each time, and lead for moments: others come first then. */
+    private static final long SHORT_REIGN_MS = 20_000;
+    private static final int MOST_SHORT_REIGNS = 2;
+    private static final long LONGEST_PAUSE_MS = 8000;
 
     /** What a change of leadership means to the rest. */
     interface Listener {
@@ -43,6 +48,9 @@
     /** After giving the lead up: others come first. */
     private Tick standFrom = Tick.ZERO;
     private long round;
+    /** How many short reigns in a row this node has had, its earlier lives included, and when the present one began. */
+    private int shortReigns;
+    private long wonWallMs;
 
     Election(Turn turn, StoreClient store, Budget requests, String node, long ttlMs, Listener listener) {
         this.turn = turn;
@@ -84,7 +92,7 @@
 
     /** Adds a rewrite of the key, so that the commit's revision becomes the new baton. */
     void rotateIn(Txn txn) {
-        txn.put(KEY, Codec.map().put("node", node), lease);
+        txn.put(KEY, value(), lease);
     }
 
     void rotated(Revision r) {
@@ -124,6 +132,9 @@
                 later(700, r);
             } else if (item == null) {
                 stand(r, Revision.ABSENT);
+            } else if (node.equals(leader) && endsAgainAndAgain(item)) {
+                store.revoke(item.lease());
+                later(700, r);
             } else if (node.equals(leader)) {
                 // An earlier life of this process held it; that process is dead, so its key may be replaced.
                 leader = null;
@@ -134,6 +145,23 @@
         });
     }
 
+    private ObjectNode value() {
+        return Codec.map().put("node", node).put("at", wonWallMs).put("short", shortReigns);
+    }
+
+    /** This node's earlier life held the key: was that one short reign too many? It stands again after a pause that grows. */
+    private boolean endsAgainAndAgain(StoreClient.Item own) {
+        boolean brief = turn.wallMs() - own.value().path("at").longValue() < SHORT_REIGN_MS;
+        shortReigns = brief ? own.value().path("short").intValue() + 1 : 0;
+        if (shortReigns <= MOST_SHORT_REIGNS) {
+            return false;
+        }
+        long pause = Math.min(LONGEST_PAUSE_MS, 1000L << Math.min(10, shortReigns - MOST_SHORT_REIGNS - 1));
+        LOG.warn("{} short reigns of this node in a row: others come first for {} s", shortReigns, pause / 1000.0);
+        standFrom = turn.now().plusMs(pause);
+        return true;
+    }
+
     private void watch(long r, Revision after) {
         requests.take(turn.now(), 1);
         store.changes(KEY, after, 4000, c -> {
@@ -173,7 +201,8 @@
                 later(500, r);
                 return;
             }
-            Txn txn = new Txn().guard(KEY, expected).put(KEY, Codec.map().put("node", node), hold);
+            wonWallMs = turn.wallMs();
+            Txn txn = new Txn().guard(KEY, expected).put(KEY, value(), hold);
             store.commit(txn, c -> {
                 if (r != round) {
                     return;
--- /dev/null
+++ b/src/main/java/org/beechhoist/core/FleetNotes.java
@@ -0,0 +1,239 @@
+package org.beechhoist.core;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.beechhoist.config.Settings;
+import org.beechhoist.store.Budget;
+import org.beechhoist.store.FleetSnapshot;
+import org.beechhoist.store.StoreClient;
+import org.beechhoist.store.Txn;
+import org.beechhoist.wire.Codec;
+import org.beechhoist.wire.Malformed;
+import org.beechhoist.wire.Tick;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * What the next leader needs of the machines before they speak: written a part at a time, at a stated share of the changes,
+ * and read while the records are. Only hints: what the cloud lists and what machines say replaces them.
+ */
+final class FleetNotes {
+    private static final Logger LOG = LoggerFactory.getLogger(FleetNotes.class);
+    /** Written only where this much of a full budget of changes is left. */
+    private static final double PLENTY = 0.6;
+    /** Of the allowed changes, what the notes may take. */
+    private static final double SHARE = 0.02;
+    /** A part that has not changed is written again after this long, so that its age tells that somebody led. */
+    private static final long RENEW_MS = 120_000;
+    private static final long TOO_OLD_MS = 600_000;
+    private static final long FIRST_MS = 15_000;
+    private static final long AGAIN_MS = 500;
+    private static final int MOST_TRIES = 6;
+    private static final int MOST_IMAGES = 8;
+
+    private record Written(long content, Tick at) {
+    }
+
+    private final Turn turn;
+    private final Settings settings;
+    private final StoreClient store;
+    private final Election election;
+    private final Budget requests;
+    private final Budget writes;
+    private final Book book;
+    private final Map<Integer, Written> written = new HashMap<>();
+    private final Set<Integer> beyond = new HashSet<>();
+    private Tick next = Tick.ZERO;
+    private boolean inFlight;
+    private int cursor;
+    private int parts = 1;
+    private int taken;
+
+    FleetNotes(Turn turn, Settings settings, StoreClient store, Election election, Budget requests, Budget writes, Book book) {
+        this.turn = turn;
+        this.settings = settings;
+        this.store = store;
+        this.election = election;
+        this.requests = requests;
+        this.writes = writes;
+        this.book = book;
+    }
+
+    /** A new leadership begins: what the last one noted is read. */
+    void begin() {
+        written.clear();
+        beyond.clear();
+        inFlight = false;
+        cursor = 0;
+        parts = 1;
+        taken = 0;
+        next = turn.now().plusMs(FIRST_MS);
+        read(null, new ArrayList<>(), 0, 0);
+    }
+
+    /** Machines that were entered from what an earlier leader noted. */
+    int taken() {
+        return taken;
+    }
+
+    // ---- reading ----
+
+    private void read(String after, List<FleetSnapshot> whole, int unread, int tries) {
+        long reign = book.reign();
+        requests.take(turn.now(), 1);
+        store.list(FleetSnapshot.PREFIX, after, 100, page -> {
+            if (reign != book.reign()) {
+                return;
+            }
+            if (!page.ok()) {
+                if (tries < MOST_TRIES) {
+                    turn.after(AGAIN_MS, () -> {
+                        if (reign == book.reign()) {
+                            read(after, whole, unread, tries + 1);
+                        }
+                    });
+                }
+                return;
+            }
+            int bad = unread;
+            for (StoreClient.Item i : page.items()) {
+                try {
+                    FleetSnapshot s = FleetSnapshot.parse(i.value());
+                    if (!FleetSnapshot.key(s.part()).equals(i.key())) {
+                        throw new Malformed("part: it stands at " + i.key());
+                    }
+                    whole.add(s);
+                    beyond.add(s.part());
+                } catch (Malformed e) {
+                    LOG.debug("{}: {}", i.key(), e.getMessage());
+                    bad++;
+                }
+            }
+            if (page.more() && !page.items().isEmpty()) {
+                read(page.items().get(page.items().size() - 1).key(), whole, bad, 0);
+            } else {
+                take(whole, bad);
+            }
+        });
+    }
+
+    private void take(List<FleetSnapshot> whole, int bad) {
+        List<FleetSnapshot> usable = whole.stream().filter(s -> Math.abs(turn.wallMs() - s.wallMs()) < TOO_OLD_MS).toList();
+        if (bad > 0 || usable.size() < whole.size()) {
+            LOG.warn("notes on the fleet: {} parts taken, {} too old, {} torn or foreign: the cloud's list and reports tell the rest", usable.size(),
+                    whole.size() - usable.size(), bad);
+        }
+        FleetSnapshot.merged(usable).values().forEach(this::enter);
+        if (taken > 0) {
+            LOG.info("notes on the fleet: {} machines known before they speak", taken);
+            book.replan();
+        }
+    }
+
+    private void enter(FleetSnapshot.Machine m) {
+        Host h = book.host(m.id());
+        if (h.known()) {
+            return; // it has spoken, or the list was quicker
+        }
+        taken++;
+        h.type = m.type();
+        h.zone = m.zone();
+        h.spot = m.spot();
+        h.address = m.address();
+        h.imagesShift = m.shift();
+        h.listedUp = true;
+        if (m.rentedWallMs() > 0) {
+            h.rentedAt = turn.now().plusMs(Math.min(0, m.rentedWallMs() - turn.wallMs()));
+        }
+        h.images.putAll(m.images());
+    }
+
+    // ---- writing ----
+
+    /** Writes one part, if it is time and writes are to spare. */
+    void tick() {
+        if (inFlight || turn.now().before(next) || writes.available(turn.now()) < PLENTY * writes.most()) {
+            return;
+        }
+        next = turn.now().plusMs(Math.round(1000 / Math.max(0.02, SHARE * settings.stateLimits().writeRps())));
+        Map<Integer, List<FleetSnapshot.Machine>> all = cut();
+        for (int tried = 0; tried < parts; tried++) {
+            int part = cursor++ % parts;
+            FleetSnapshot s = new FleetSnapshot(part, parts, turn.wallMs(), all.getOrDefault(part, List.of()));
+            Written old = written.get(part);
+            long content = s.content();
+            if (old == null || old.content != content || turn.now().since(old.at) > RENEW_MS) {
+                ObjectNode value = s.toNode();
+                if (Codec.countedBytes(value) <= settings.stateLimits().valueBytes()) {
+                    write(part, value, new Written(content, turn.now()));
+                    return;
+                }
+            }
+        }
+        Integer left = beyond.stream().filter(p -> p >= parts).findFirst().orElse(null);
+        if (left != null) {
+            write(left, null, null); // the fleet was larger once
+        }
+    }
+
+    private Map<Integer, List<FleetSnapshot.Machine>> cut() {
+        List<FleetSnapshot.Machine> machines = new ArrayList<>();
+        int largest = 1;
+        for (Host h : book.hosts()) {
+            if (h.lastCheckin != null && h.known() && !h.returning) {
+                FleetSnapshot.Machine m = machine(h);
+                largest = Math.max(largest, FleetSnapshot.bytes(m));
+                machines.add(m);
+            }
+        }
+        parts = FleetSnapshot.parts(machines.size(), largest, settings.stateLimits().valueBytes());
+        Map<Integer, List<FleetSnapshot.Machine>> out = new HashMap<>();
+        machines.forEach(m -> out.computeIfAbsent(FleetSnapshot.partOf(m.id(), parts), k -> new ArrayList<>()).add(m));
+        return out;
+    }
+
+    private FleetSnapshot.Machine machine(Host h) {
+        Map<String, Double> images = new LinkedHashMap<>();
+        int skip = Math.max(0, h.images.size() - MOST_IMAGES); // the least recently used come first
+        for (Map.Entry<String, Double> e : h.images.entrySet()) {
+            if (skip-- <= 0) {
+                images.put(e.getKey(), e.getValue());
+            }
+        }
+        long rented = h.rentedAt == null ? 0 : turn.wallMs() - turn.now().since(h.rentedAt);
+        // To the minute: the clocks' wander would make every part differ every time.
+        return new FleetSnapshot.Machine(h.id, h.address, h.type, h.zone, h.spot, h.shift, rented / 60_000 * 60_000, images);
+    }
+
+    private void write(int part, ObjectNode value, Written now) {
+        Txn txn = election.guarded();
+        if (value == null) {
+            txn.delete(FleetSnapshot.key(part));
+        } else {
+            txn.put(FleetSnapshot.key(part), value);
+        }
+        inFlight = true;
+        requests.take(turn.now(), 1);
+        writes.take(turn.now(), 1);
+        long reign = book.reign();
+        store.commit(txn, c -> {
+            if (reign != book.reign()) {
+                return;
+            }
+            inFlight = false;
+            if (c.result() == StoreClient.Commit.Result.DONE && now != null) {
+                written.put(part, now);
+                beyond.add(part);
+            } else if (c.result() == StoreClient.Commit.Result.DONE) {
+                written.remove(part);
+                beyond.remove(part);
+            }
+        });
+    }
+}
--- a/src/main/java/org/beechhoist/core/Host.java
+++ b/src/main/java/org/beechhoist/core/Host.java
@@ -41,6 +41,8 @@
     final Map<TaskId, Placement> placements = new HashMap<>();
     /** Running tasks that no record explains, until they are gone. */
     int strangers;
+    /** Placements of earlier leaderships that its newest report says nothing of, and does not prove gone either. */
+    int inDoubt;
 
     /** Orders sent straight to the worker that are not answered yet. */
     int ordersInFlight;
@@ -63,6 +65,8 @@
     Tick avoidUntil = Tick.ZERO;
     /** When elastic jobs may grow onto it again. */
     Damping damping = Damping.NONE;
+    /** The session that the images are from, where an earlier leader noted them; 0: none did. */
+    long imagesShift;
     /** Images it should hold, least recently used first, with their sizes. */
     final LinkedHashMap<String, Double> images = new LinkedHashMap<>(8, 0.75f, true);
     /** Jobs whose tasks failed on it since one last completed. */
--- a/src/main/java/org/beechhoist/core/Job.java
+++ b/src/main/java/org/beechhoist/core/Job.java
@@ -49,6 +49,8 @@
     Tick lastProgress;
     /** Whether it fits into its team's guarantee together with the team's earlier open jobs. */
     boolean guaranteed;
+    /** Whether it goes first, for its class or team is below its half. */
+    boolean lifted;
 
     Job(JobRecord record, Revision version, Tick submitted) {
         this.record = record;
@@ -76,6 +78,9 @@
 
     /** Whether its tasks may have the other job's stopped. */
     boolean outranks(Job other) {
+        if (other.lifted) {
+            return false; // it would be lifted again, and stopped again
+        }
         int urgency = spec().urgency().compareTo(other.spec().urgency());
         boolean borrowed = !other.guaranteed && !other.spec().team().equals(spec().team());
         // A guarantee could take back borrowed machines from more urgent work too, but that work waits worst.
--- a/src/main/java/org/beechhoist/core/Leader.java
+++ b/src/main/java/org/beechhoist/core/Leader.java
@@ -39,6 +39,7 @@
     private final Book book;
     private final Loading loading;
     private final Committer committer;
+    private final Starting starting;
     private final Orders orders;
     private final Recovery recovery;
     private final Departures departures;
@@ -52,6 +53,9 @@
     private final Preemption preemption;
     /** Null where cron is off: nothing of it is loaded then. */
     private final Schedules schedules;
+    /** Null where they are off: nothing of them is loaded then. */
+    private final FleetNotes notes;
+    private final ServedFloor floor;
 
     Leader(Turn turn, Settings settings, Policy policy, SplittableRandom random, StoreClient store,
             Election election, Budget requests, Budget writes, Types types, UserApi users, OnceKeys onceKeys,
@@ -94,12 +98,16 @@
                     }
 
                     @Override
-                    public void ended(JobRef ref, JsonNode state) {
-                        users.ended(ref, state);
-                        recovery.over(ref);
+                    public void ended(Job j, JsonNode state) {
+                        users.ended(j.ref(), state);
+                        recovery.over(j.ref());
+                        if (floor != null) {
+                            floor.ended(j);
+                        }
                     }
                 });
-        this.orders = new Orders(turn, settings, election, book, loading, new Orders.Listener() {
+        this.starting = new Starting(turn, settings, book);
+        this.orders = new Orders(turn, settings, election, book, loading, starting, new Orders.Listener() {
             @Override
             public void reported(Host h, HostReport report) {
                 reports.evaluate(h, report, false);
@@ -118,26 +126,35 @@
         Ordering ordering = new Ordering(turn, settings, policy, book, estimates);
         this.departures = new Departures(book, orders, stopping, recovery);
         this.provisioner = new Provisioner(turn, settings, policy, election, types, book, ordering, estimates, faults, departures,
-                recovery);
+                recovery, starting);
         this.elastic = new Elastic(turn, policy.elastic(), book, types, estimates, stopping, departures);
         this.reports = new Reports(turn, election, book, loading, types, estimates, departures, faults, provisioner, elastic);
         this.admission = new Admission(turn, settings, types, book, faults);
         this.planner = new Planner(turn, settings, policy, random, types, book, estimates, ordering, admission,
-                provisioner, elastic);
+                provisioner, elastic, starting);
         this.dispatch = new Dispatch(turn, book, admission, estimates, elastic);
         this.narrowing = new Narrowing(turn, policy, types, book, ordering, admission, provisioner.renting(),
                 elastic);
         this.preemption = new Preemption(turn, policy, types, book, ordering, admission, stopping);
         this.schedules = policy.cron().on()
                 ? new Schedules(turn, settings, store, election, requests, writes, book, loading, users, onceKeys) : null;
+        this.notes = policy.fleetNotes() ? new FleetNotes(turn, settings, store, election, requests, writes, book) : null;
+        this.floor = policy.servedFloor() ? new ServedFloor(turn, settings, store, election, requests, writes, book, estimates) : null;
     }
 
     void begin() {
         book.reset();
+        starting.begin();
         planner.begin();
         committer.reset();
         provisioner.reset(election.baton());
         loading.reload();
+        if (notes != null) {
+            notes.begin();
+        }
+        if (floor != null) {
+            floor.begin();
+        }
         if (schedules != null) {
             schedules.begin();
         }
@@ -192,6 +209,15 @@
         return recovery;
     }
 
+    /** Null where it is off. */
+    ServedFloor floor() {
+        return floor;
+    }
+
+    Starting starting() {
+        return starting;
+    }
+
     Planner planner() {
         return planner;
     }
@@ -210,6 +236,7 @@
         if (!active() || deaf()) {
             return;
         }
+        starting.tick(true);
         for (Host h : new ArrayList<>(book.hosts())) {
             if (!h.placements.isEmpty() && book.lapse(h).before(turn.now()) && h.placements.values().stream().allMatch(p -> p.committed)) {
                 departures.clear(h, "its lease ran out");
@@ -225,6 +252,12 @@
         book.replan();
         provisioner.tick(planner.current());
         logStalled();
+        if (notes != null) {
+            notes.tick();
+        }
+        if (floor != null) {
+            floor.tick();
+        }
         if (schedules != null) {
             schedules.tick();
         }
@@ -292,8 +325,10 @@
             Plan plan = planner.plan();
             dispatch.dispatch(plan);
             Map<String, double[]> used = book.usedByTeams(); // deciding who goes changes nothing of it
-            narrowing.run(plan, used);
-            preemption.run(plan, used);
+            if (starting.mayStop()) {
+                narrowing.run(plan, used);
+                preemption.run(plan, used);
+            }
             planner.pace();
         }
         committer.pump();
--- a/src/main/java/org/beechhoist/core/Loading.java
+++ b/src/main/java/org/beechhoist/core/Loading.java
@@ -154,7 +154,8 @@
             try {
                 takeRecord(i, old);
             } catch (Malformed e) {
-                LOG.error("record {} can't be read, left alone: {}", i.key(), e.getMessage());
+                LOG.error("record {} can't be read, the job and its tasks are left alone: {}", i.key(), e.getMessage());
+                book.leaveAlone(jobOf(i.key()));
             }
         }
         if (!takeLog(segments)) {
@@ -216,8 +217,8 @@
             }
         }
         for (JobRef ref : unreadable) {
-            LOG.error("what the log says of {} can't be read, it is left alone", ref);
-            book.remove(book.job(ref));
+            LOG.error("what the log says of {} can't be read, the job and its tasks are left alone", ref);
+            book.leaveAlone(ref);
         }
         Map<JobRef, Long> from = new HashMap<>();
         segments.forEach((s, slot) -> s.jobs().forEach((ref, delta) -> {
@@ -244,6 +245,11 @@
         return true;
     }
 
+    private static JobRef jobOf(String key) {
+        int slash = key.indexOf('/', JobRecord.OPEN.length());
+        return new JobRef(key.substring(JobRecord.OPEN.length(), slash < 0 ? key.length() : slash));
+    }
+
     private void takeRecord(StoreClient.Item i, Map<JobRef, Job> old) throws Malformed {
         String rest = i.key().substring(JobRecord.OPEN.length());
         int slash = rest.indexOf('/');
--- a/src/main/java/org/beechhoist/core/Ordering.java
+++ b/src/main/java/org/beechhoist/core/Ordering.java
@@ -15,6 +15,7 @@
 final class Ordering {
     /** How long a job may wait that no objective speaks for, or none any more. */
     private static final long NO_OBJECTIVE_MS = 300_000;
+    private static final int FIRST = -1;
 
     private final Turn turn;
     private final Settings settings;
@@ -118,8 +119,14 @@
         return out;
     }
 
-    /** More urgent work first, and what a team is guaranteed before what it borrows: no search may trade that. */
+    /**
+     * More urgent work first, and what a team is guaranteed before what it borrows: no search may trade that. What is lifted
+     * for its class's or team's half comes before all; {@link ServedFloor} lifts nothing over another team's guarantee.
+     */
     private static int rank(Job j) {
+        if (j.lifted) {
+            return FIRST;
+        }
         return 2 * j.spec().urgency().ordinal() + (j.guaranteed ? 0 : 1);
     }
 }
--- a/src/main/java/org/beechhoist/core/Orders.java
+++ b/src/main/java/org/beechhoist/core/Orders.java
@@ -35,9 +35,11 @@
     private final Election election;
     private final Book book;
     private final Loading loading;
+    private final Starting starting;
     private final Listener listener;
 
-    Orders(Turn turn, Settings settings, Election election, Book book, Loading loading, Listener listener) {
+    Orders(Turn turn, Settings settings, Election election, Book book, Loading loading, Starting starting, Listener listener) {
+        this.starting = starting;
         this.turn = turn;
         this.settings = settings;
         this.election = election;
@@ -60,6 +62,9 @@
             h.outbox.clear(); // launches not sent go with the next reply to its report
             return;
         }
+        if (!starting.mayCommand(h)) {
+            return; // they wait for a moment, or go with that reply
+        }
         List<Order> orders = new ArrayList<>(h.outbox.subList(0, Math.min(MAX_ORDERS, h.outbox.size())));
         h.outbox.subList(0, orders.size()).clear();
         List<Placement> launches = new ArrayList<>();
@@ -78,6 +83,7 @@
             return false;
         });
         if (orders.isEmpty()) {
+            starting.answered();
             return;
         }
         Baton baton = election.baton();
@@ -89,6 +95,7 @@
         turn.command(election.validUntil(), Calls.Target.HOST, h.address, "POST", "/orders", body, DIRECT_TIMEOUT_MS, o -> {
             if (r == book.reign() && book.known(h.id) == h) {
                 h.ordersInFlight--;
+                starting.answered();
                 ordersDone(h, o, launches, baton);
             }
         });
--- a/src/main/java/org/beechhoist/core/Planner.java
+++ b/src/main/java/org/beechhoist/core/Planner.java
@@ -49,6 +49,7 @@
     private final Admission admission;
     private final Provisioner provisioner;
     private final Elastic elastic;
+    private final Starting starting;
     private Tick nextPlan = Tick.ZERO;
     private Plan plan;
     private RandomSearch<Arrangement> search;
@@ -60,7 +61,9 @@
     private long searchKept;
 
     Planner(Turn turn, Settings settings, Policy policy, SplittableRandom random, Types types, Book book,
-            Estimates estimates, Ordering ordering, Admission admission, Provisioner provisioner, Elastic elastic) {
+            Estimates estimates, Ordering ordering, Admission admission, Provisioner provisioner, Elastic elastic,
+            Starting starting) {
+        this.starting = starting;
         this.turn = turn;
         this.settings = settings;
         this.policy = policy;
@@ -144,7 +147,7 @@
         Set<HostId> planned = new HashSet<>();
         for (Host h : book.hosts()) {
             HostType t = h.known() ? types.get(h.type) : null;
-            if (t == null || (!admission.usable(h) && (h.up || h.returning))) {
+            if (t == null || (!admission.usable(h) && (h.up || h.returning)) || starting.doubted(h)) {
                 continue;
             }
             PlanHost ph = new PlanHost(h.id, t, h.zone, h.spot, h.up, h.up ? now : provisioner.readyAt(h, t));
--- a/src/main/java/org/beechhoist/core/Provisioner.java
+++ b/src/main/java/org/beechhoist/core/Provisioner.java
@@ -45,6 +45,7 @@
     private final Renting renting;
     private final Silence silence;
     private final Recovery recovery;
+    private final Starting starting;
     private final Set<HostId> gone = Recent.added(REMEMBERED_GONE);
     private Tick nextTurn = Tick.ZERO;
     private Tick nextList = Tick.ZERO;
@@ -55,7 +56,8 @@
 
     Provisioner(Turn turn, Settings settings, Policy policy, Election election, Types types, Book book, Ordering ordering,
             Estimates estimates, Faults faults, Departures departures,
-            Recovery recovery) {
+            Recovery recovery, Starting starting) {
+        this.starting = starting;
         this.turn = turn;
         this.election = election;
         this.settings = settings;
@@ -64,7 +66,7 @@
         this.book = book;
         this.faults = faults;
         this.departures = departures;
-        this.silence = new Silence(turn, settings, policy, election, book);
+        this.silence = new Silence(turn, settings, policy, election, book, starting, recovery);
         this.recovery = recovery;
         this.calls = new Budget(settings.cloudLimits().rps() * 0.8);
         this.renting = new Renting(turn, policy, election, types, book, ordering, estimates, calls);
@@ -158,6 +160,7 @@
 
     private void listed(Map<HostId, JsonNode> found, Tick asked) {
         listed = true;
+        starting.listed();
         found.forEach((id, n) -> {
             if (gone.contains(id)) {
                 return; // the list lags
--- a/src/main/java/org/beechhoist/core/Recovery.java
+++ b/src/main/java/org/beechhoist/core/Recovery.java
@@ -82,7 +82,8 @@
         return out;
     }
 
-    private int firstUrgency(Host h) {
+    /** The most urgent work on it; beyond all urgencies where there is none. */
+    int firstUrgency(Host h) {
         int least = Urgency.values().length;
         for (Placement p : h.placements.values()) {
             Job j = book.job(p.task.job());
--- a/src/main/java/org/beechhoist/core/Reports.java
+++ b/src/main/java/org/beechhoist/core/Reports.java
@@ -5,6 +5,8 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
+import org.beechhoist.start.Evidence;
+import org.beechhoist.start.Squaring;
 import org.beechhoist.store.Placement;
 import org.beechhoist.wire.Codec;
 import org.beechhoist.wire.HostReport;
@@ -74,7 +76,7 @@
         h.spot = r.spot();
         boolean fresh = h.lastCheckin == null ? r.newerThan(h.shift, h.counter - 1) : r.newerThan(h.shift, h.counter);
         if (fresh) {
-            if (r.shift() > h.shift) {
+            if (h.lastCheckin == null ? r.shift() != h.imagesShift : r.shift() > h.shift) {
                 h.images.clear();
             }
             h.shift = r.shift();
@@ -124,58 +126,86 @@
         return null;
     }
 
-    /** Whether the report proves that the task is not on the host and no launch can still put it there. */
-    private static boolean provenAbsent(Host h, Placement p, HostReport r) {
-        if (!p.sent) {
-            return false;
+    /** What is stored of the task that the machine speaks of. */
+    private Squaring.Stored stored(Host h, HostReport.Entry e) {
+        Job j = book.job(e.task().job());
+        if (j == null) {
+            return book.unreadable(e.task().job()) ? Squaring.Stored.UNREADABLE : Squaring.Stored.NO_JOB;
+        }
+        Placement p = j.record.live.get(e.task().index());
+        if (p == null) {
+            return j.record.done.contains(e.task().index()) ? Squaring.Stored.DONE : Squaring.Stored.NOTHING;
         }
-        if (p.sentShift > 0 && r.shift() > p.sentShift) {
-            return true;
+        if (p.attempt > e.attempt()) {
+            return Squaring.Stored.PLACED_LATER;
         }
-        return h.ordersInFlight == 0 && r.baton().compareTo(h.limbo) > 0 && r.baton().compareTo(p.provenFrom) >= 0
-                && r.newerThan(p.sentShift, p.sentCounter);
+        return p.attempt < e.attempt() || !p.host.equals(h.id) ? Squaring.Stored.PLACED_OTHERWISE
+                : j.record.cancelled() ? Squaring.Stored.CANCELLED : Squaring.Stored.PLACED;
     }
 
     /** Takes what a report says of tasks; returns the orders that follow. Absence counts in check-ins only. */
     List<Order> evaluate(Host h, HostReport r, boolean checkin) {
         List<Order> orders = new ArrayList<>();
+        Evidence.InFlight inFlight = new Evidence.InFlight(h.ordersInFlight > 0, h.limbo);
         // A launch in limbo finds its exited attempt and does nothing; once forgotten, it would start it once more.
-        boolean mayForget = h.ordersInFlight == 0 && r.baton().compareTo(h.limbo) > 0;
+        boolean over = inFlight.over(r.baton());
         int strangers = 0;
         Set<TaskId> seen = new HashSet<>();
         for (HostReport.Entry e : r.tasks()) {
             Job j = book.job(e.task().job());
-            Placement p = j == null ? null : j.record.live.get(e.task().index());
-            boolean matches = p != null && p.host.equals(h.id) && p.attempt == e.attempt();
-            if (matches) {
+            Squaring.Stored stored = stored(h, e);
+            Squaring.Decision d = Squaring.of(stored, Squaring.Said.of(e), Evidence.NONE, over && (j == null || j.settled()));
+            if (stored == Squaring.Stored.PLACED || stored == Squaring.Stored.CANCELLED) {
                 seen.add(e.task());
+                Placement p = j.record.live.get(e.task().index());
                 if (e.state() == HostReport.State.EXITED) {
-                    exited(h, j, p, e);
+                    exited(h, j, p, e, d);
                 } else {
-                    present(h, j, p, e, orders);
+                    present(h, j, p, e, d, orders);
                 }
-            } else if (e.state() != HostReport.State.EXITED) {
-                strangers++;
-                LOG.info("{}: {} try {} is explained by no record, killed", h.id, e.task(), e.attempt());
-                orders.add(Order.kill(e.task(), e.attempt(), 0));
-            } else if (mayForget && (j == null || j.settled())) {
-                orders.add(Order.forget(e.task(), e.attempt()));
+            } else {
+                strangers += stranger(h, e, d, orders) ? 1 : 0;
             }
         }
         h.strangers = strangers;
         if (checkin) {
-            for (Placement p : new ArrayList<>(h.placements.values())) {
-                Job j = book.job(p.task.job());
-                if (j != null && !seen.contains(p.task) && p.committed && provenAbsent(h, p, r)) {
-                    LOG.info("{} try {} is not on {} any more", p.task, p.attempt, h.id);
-                    departures.remove(j, p);
-                }
-            }
+            h.inDoubt = absent(h, r, seen, inFlight);
         }
         return orders.size() > Orders.MAX_ORDERS ? orders.subList(0, Orders.MAX_ORDERS) : orders;
     }
 
-    private void present(Host h, Job j, Placement p, HostReport.Entry e, List<Order> orders) {
+    /** A task that no record explains, on the machine or ended there; whether it takes room. */
+    private static boolean stranger(Host h, HostReport.Entry e, Squaring.Decision d, List<Order> orders) {
+        if (d == Squaring.Decision.KILL) {
+            LOG.info("{}: {} try {} is explained by no record, killed", h.id, e.task(), e.attempt());
+            orders.add(Order.kill(e.task(), e.attempt(), 0));
+        } else if (d == Squaring.Decision.FORGET) {
+            orders.add(Order.forget(e.task(), e.attempt()));
+        }
+        return e.state() != HostReport.State.EXITED;
+    }
+
+    /** Takes off what the report proves gone; how many of earlier leaderships' placements stay in doubt. */
+    private int absent(Host h, HostReport r, Set<TaskId> seen, Evidence.InFlight inFlight) {
+        int doubt = 0;
+        for (Placement p : new ArrayList<>(h.placements.values())) {
+            Job j = book.job(p.task.job());
+            if (j == null || seen.contains(p.task) || !p.committed) {
+                continue;
+            }
+            Evidence evidence = Evidence.ofAbsence(new Evidence.Launch(p.sent, p.provenFrom, p.sentShift, p.sentCounter), inFlight, r);
+            Squaring.Stored stored = j.record.cancelled() ? Squaring.Stored.CANCELLED : Squaring.Stored.PLACED;
+            if (Squaring.of(stored, Squaring.Said.ABSENT, evidence, false) == Squaring.Decision.GONE) {
+                LOG.info("{} try {} is not on {} any more", p.task, p.attempt, h.id);
+                departures.remove(j, p);
+            } else {
+                doubt += p.recovered ? 1 : 0;
+            }
+        }
+        return doubt;
+    }
+
+    private void present(Host h, Job j, Placement p, HostReport.Entry e, Squaring.Decision d, List<Order> orders) {
         if (!p.sent) {
             p.sent = true; // an earlier leadership's launch
             p.sentShift = h.shift;
@@ -190,7 +220,7 @@
             h.cached(j.spec().image(), j.spec().imageGb(), t == null ? 0 : t.cacheGb());
             book.replan();
         }
-        if (j.record.cancelled()) {
+        if (d == Squaring.Decision.KILL) {
             orders.add(Order.kill(p.task, p.attempt, 0));
         } else if (p.killSent && e.state() != HostReport.State.SAVING) {
             orders.add(Order.kill(p.task, p.attempt, j.spec().saveS())); // the first one may have been lost
@@ -209,15 +239,14 @@
         }
     }
 
-    private void exited(Host h, Job j, Placement p, HostReport.Entry e) {
-        String cause = e.cause() == null ? "" : e.cause();
-        LOG.info("{} try {} on {} ended: {}", p.task, p.attempt, h.id, cause);
+    private void exited(Host h, Job j, Placement p, HostReport.Entry e, Squaring.Decision d) {
+        LOG.info("{} try {} on {} ended: {}", p.task, p.attempt, h.id, e.cause() == null ? "" : e.cause());
         j.lastProgress = turn.now();
         if (p.running != null) {
             book.used(j.spec().team(), j.spec().cpus() * turn.now().since(p.running));
         }
-        switch (cause) {
-            case "done" -> {
+        switch (d) {
+            case COUNT_DONE -> {
                 if (!j.spec().service()) {
                     j.record.done.add(p.task.index());
                 }
@@ -226,9 +255,9 @@
                     estimates.observed(j.spec(), turn.now().since(p.running));
                 }
             }
-            case "error" -> faults.failed(h, j, p);
-            case "full", "busy" -> h.avoidUntil = turn.now().plusMs(3000);
-            case "no_such" -> j.notBefore = turn.now().plusMs(3000);
+            case COUNT_FAILED -> faults.failed(h, j, p);
+            case AVOID_MACHINE -> h.avoidUntil = turn.now().plusMs(3000);
+            case ASK_LATER -> j.notBefore = turn.now().plusMs(3000);
             default -> {
             }
         }
--- /dev/null
+++ b/src/main/java/org/beechhoist/core/ServedFloor.java
@@ -0,0 +1,196 @@
+package org.beechhoist.core;
+
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import org.beechhoist.config.Settings;
+import org.beechhoist.floor.Floor;
+import org.beechhoist.floor.Ledger;
+import org.beechhoist.store.Budget;
+import org.beechhoist.store.ServedRecord;
+import org.beechhoist.store.StoreClient;
+import org.beechhoist.store.Txn;
+import org.beechhoist.wire.Codec;
+import org.beechhoist.wire.JobRef;
+import org.beechhoist.wire.JobSpec;
+import org.beechhoist.wire.Malformed;
+import org.beechhoist.wire.Tick;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** Counts what each class and team asks and is served, keeps that through take-overs, and lifts jobs where one is behind its half. */
+final class ServedFloor {
+    private static final Logger LOG = LoggerFactory.getLogger(ServedFloor.class);
+    /** How long a job has that no objective and no deadline speaks for. */
+    private static final long USUAL_MS = 300_000;
+    private static final double DEADLINE_TIMES = 1.5;
+    private static final long WRITE_EVERY_MS = 15_000;
+    private static final double PLENTY = 0.5;
+    private static final long AGAIN_MS = 1000;
+    private static final long READ_AFTER_MS = 4000;
+
+    private final Turn turn;
+    private final Settings settings;
+    private final StoreClient store;
+    private final Election election;
+    private final Budget requests;
+    private final Budget writes;
+    private final Book book;
+    private final Estimates estimates;
+    private final Ledger ledger = new Ledger();
+    private final Set<JobRef> counted = new HashSet<>();
+    private Set<JobRef> lifted = Set.of();
+    /** Open jobs whose time was up before are in the ledger already. */
+    private long countedUntilWallMs;
+    private boolean known;
+    private Tick nextWrite = Tick.ZERO;
+
+    ServedFloor(Turn turn, Settings settings, StoreClient store, Election election, Budget requests, Budget writes, Book book, Estimates estimates) {
+        this.turn = turn;
+        this.settings = settings;
+        this.store = store;
+        this.election = election;
+        this.requests = requests;
+        this.writes = writes;
+        this.book = book;
+        this.estimates = estimates;
+    }
+
+    /** A new leadership begins: what was counted before is read. */
+    void begin() {
+        ledger.clear();
+        counted.clear();
+        lifted = Set.of();
+        known = false;
+        countedUntilWallMs = 0;
+        nextWrite = turn.now().plusMs(WRITE_EVERY_MS);
+        long reign = book.reign();
+        turn.after(READ_AFTER_MS, () -> {
+            if (reign == book.reign()) {
+                read(); // nothing hangs on it in a leadership's first seconds, in which all else is read
+            }
+        });
+    }
+
+    private void read() {
+        long reign = book.reign();
+        requests.take(turn.now(), 1);
+        store.get(ServedRecord.KEY, r -> {
+            if (reign != book.reign()) {
+                return;
+            }
+            if (!r.known()) {
+                turn.after(AGAIN_MS, () -> {
+                    if (reign == book.reign()) {
+                        read();
+                    }
+                });
+                return;
+            }
+            // Without a record the time before is unknown: jobs that were late by then count for nobody.
+            countedUntilWallMs = turn.wallMs();
+            if (r.item() != null) {
+                try {
+                    countedUntilWallMs = ServedRecord.read(r.item().value(), ledger);
+                } catch (Malformed e) {
+                    LOG.warn("what was served before can't be read, it is counted anew: {}", e.getMessage());
+                    ledger.clear();
+                }
+            }
+            known = true;
+        });
+    }
+
+    /** By when the job counts as served, by the time of day: the last of what its class is promised, or 1.5 times its deadline. */
+    private long limitWallMs(Job j) {
+        JobSpec s = j.spec();
+        double most = s.deadlineS() == null ? 0 : DEADLINE_TIMES * s.deadlineS();
+        for (Settings.Objective o : settings.objectives()) {
+            if (o.jobClass() != null && o.jobClass().equals(s.jobClass()) && o.kind().equals("finished")) {
+                most = Math.max(most, o.withinS());
+            }
+        }
+        return j.record.submittedWallMs + (most == 0 ? USUAL_MS : Math.round(1000 * most));
+    }
+
+    private static List<String> groups(JobSpec s) {
+        return List.of("class:" + s.jobClass(), "team:" + s.team());
+    }
+
+    /** The job is over, by its tasks. */
+    void ended(Job j) {
+        if (known && !j.record.cancelled() && counted.add(j.ref())) {
+            count(j, turn.wallMs() <= limitWallMs(j));
+        }
+        counted.remove(j.ref());
+    }
+
+    private void count(Job j, boolean served) {
+        groups(j.spec()).forEach(g -> ledger.count(g, turn.wallMs(), served));
+    }
+
+    /** Counts whose time is up, decides who goes first, and stores the counts now and then. */
+    void tick() {
+        if (!known) {
+            return;
+        }
+        List<Floor.Waiting> waiting = new ArrayList<>();
+        Set<String> guaranteed = new HashSet<>();
+        for (Job j : book.jobs()) {
+            if (j.guaranteed && !j.record.cancelled() && j.record.waitingCount() > 0) {
+                guaranteed.add(j.spec().team());
+            }
+        }
+        for (Job j : book.jobs()) {
+            long limit = limitWallMs(j);
+            if (j.record.cancelled() || j.spec().service()) {
+                continue;
+            }
+            if (turn.wallMs() > limit) {
+                if (counted.add(j.ref()) && limit > countedUntilWallMs) {
+                    count(j, false);
+                }
+            } else if (j.lifted || j.record.waitingCount() > 0 && (j.guaranteed || guaranteed.stream().allMatch(j.spec().team()::equals))) {
+                long ends = turn.wallMs() + estimates.lengthMs(j.spec());
+                waiting.add(new Floor.Waiting(j.ref(), Set.copyOf(groups(j.spec())), j.lifted, ends, limit));
+            }
+        }
+        Set<JobRef> before = lifted;
+        lifted = Floor.lifted(ledger.shares(turn.wallMs()), waiting);
+        for (Job j : book.jobs()) {
+            j.lifted = lifted.contains(j.ref());
+            if (j.lifted && !before.contains(j.ref())) {
+                LOG.info("{} goes first: its class {} or team {} is below its half", j.ref(), j.spec().jobClass(), j.spec().team());
+            }
+        }
+        write();
+    }
+
+    private void write() {
+        if (turn.now().before(nextWrite) || writes.available(turn.now()) < PLENTY * writes.most()) {
+            return;
+        }
+        nextWrite = turn.now().plusMs(WRITE_EVERY_MS);
+        Txn txn = election.guarded().put(ServedRecord.KEY, ServedRecord.toNode(ledger, turn.wallMs(), settings.stateLimits().valueBytes()));
+        requests.take(turn.now(), 1);
+        writes.take(turn.now(), 1);
+        store.commit(txn, c -> { }); // the next one says it again
+    }
+
+    /** What was asked and served lately, by class and by team. */
+    ObjectNode view() {
+        ObjectNode out = Codec.map();
+        ArrayNode rows = out.putArray("served");
+        ledger.shares(turn.wallMs()).forEach((group, s) -> {
+            int colon = group.indexOf(':');
+            rows.addObject().put("kind", group.substring(0, colon)).put("name", group.substring(colon + 1)).put("asked", s.asked())
+                    .put("served", s.served()).put("share", s.value());
+        });
+        ArrayNode first = out.putArray("lifted");
+        lifted.forEach(r -> first.add(r.text()));
+        return out;
+    }
+}
--- a/src/main/java/org/beechhoist/core/Silence.java
+++ b/src/main/java/org/beechhoist/core/Silence.java
@@ -1,6 +1,9 @@
 package org.beechhoist.core;
 
+import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import org.beechhoist.config.Policy;
 import org.beechhoist.config.Settings;
@@ -39,16 +42,20 @@
     private final Policy policy;
     private final Election election;
     private final Book book;
+    private final Starting starting;
+    private final Recovery recovery;
     private final Map<String, Zone> zones = new HashMap<>();
     private boolean blind;
     private int asked;
 
-    Silence(Turn turn, Settings settings, Policy policy, Election election, Book book) {
+    Silence(Turn turn, Settings settings, Policy policy, Election election, Book book, Starting starting, Recovery recovery) {
         this.turn = turn;
         this.settings = settings;
         this.policy = policy;
         this.election = election;
         this.book = book;
+        this.starting = starting;
+        this.recovery = recovery;
     }
 
     /** A new leadership begins. */
@@ -70,6 +77,7 @@
         zones.clear();
         int up = 0;
         int silent = 0;
+        List<Host> early = new ArrayList<>();
         for (Host h : book.hosts()) {
             if (!expected(h) || h.returning) {
                 continue;
@@ -82,10 +90,14 @@
                 z.silent++;
                 silent++;
                 ask(h);
-            } else {
+            } else if (starting.asksEarly(h)) {
+                early.add(h);
+            } else if (h.lastCheckin != null) {
                 h.unanswered = 0;
             }
         }
+        early.sort(Comparator.comparingInt(recovery::firstUrgency)); // machines whose urgent work would wait for the answer
+        early.forEach(this::ask);
         blind = silent > 2 && silent * 2 > up;
     }
 
@@ -95,7 +107,7 @@
     }
 
     private void ask(Host h) {
-        if (h.asked || asked >= MOST_ASKED || h.unanswered >= ENOUGH || h.address == null) {
+        if (h.asked || asked >= MOST_ASKED || h.unanswered >= ENOUGH || h.address == null || !starting.mayAsk(h)) {
             return;
         }
         h.asked = true;
@@ -106,6 +118,7 @@
                 return;
             }
             asked--;
+            starting.answered();
             h.asked = false;
             boolean answers = o.kind() == Outcome.Kind.ANSWERED;
             h.unanswered = answers ? 0 : h.unanswered + 1;
--- /dev/null
+++ b/src/main/java/org/beechhoist/floor/Floor.java
@@ -0,0 +1,77 @@
+package org.beechhoist.floor;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.beechhoist.wire.JobRef;
+
+/**
+ * Which waiting jobs go first so that their class or team keeps its half. Only under overload, and only as many as it takes:
+ * where a group is below the floor while another of its kind is far above, the first of its jobs that can still be over in
+ * time are lifted.
+ */
+public final class Floor {
+    /** Below this a group is behind: the half that must be kept, and some for what is under way. */
+    public static final double BEHIND = 0.6;
+    /** Only at the cost of groups that are above this. */
+    public static final double FAR_ABOVE = 0.8;
+    /** Fewer jobs say nothing of a group. */
+    static final int LEAST_ASKED = 4;
+    /** Of one group at a time: the rest of the room stays with whoever has it by urgency. */
+    private static final int MOST_LIFTED = 8;
+
+    /**
+     * An open job whose time is not up.
+     *
+     * @param lifted already: it stays so, or what it began would be stopped again for those it went before
+     * @param endsIfFirstMs when it would be over if it came first now
+     * @param limitMs by when it counts as served
+     */
+    public record Waiting(JobRef job, Set<String> groups, boolean lifted, long endsIfFirstMs, long limitMs) {
+    }
+
+    private Floor() {
+    }
+
+    /** Groups are named {@code kind:name}; only groups of one kind are held against one another. */
+    public static Set<JobRef> lifted(Map<String, Share> shares, List<Waiting> waiting) {
+        Set<JobRef> out = new HashSet<>();
+        List<Waiting> inTime = new ArrayList<>();
+        for (Waiting w : waiting) {
+            if (w.lifted) {
+                out.add(w.job);
+            } else if (w.endsIfFirstMs <= w.limitMs) {
+                inTime.add(w);
+            }
+        }
+        inTime.sort(Comparator.comparingLong(Waiting::limitMs).thenComparing(Waiting::job));
+        shares.forEach((group, share) -> {
+            if (share.asked() < LEAST_ASKED || share.value() >= BEHIND || !anotherFarAbove(group, shares)) {
+                return;
+            }
+            long under = waiting.stream().filter(w -> w.lifted && w.groups.contains(group)).count();
+            long left = Math.min(MOST_LIFTED, needed(share)) - under;
+            for (Waiting w : inTime) {
+                if (left > 0 && w.groups.contains(group)) {
+                    out.add(w.job);
+                    left--;
+                }
+            }
+        });
+        return out;
+    }
+
+    private static boolean anotherFarAbove(String group, Map<String, Share> shares) {
+        String kind = group.substring(0, group.indexOf(':') + 1);
+        return shares.entrySet().stream().anyMatch(e -> e.getKey().startsWith(kind) && !e.getKey().equals(group)
+                && e.getValue().asked() >= LEAST_ASKED && e.getValue().value() >= FAR_ABOVE);
+    }
+
+    /** So many more jobs in time would bring the group back to the floor. */
+    static int needed(Share s) {
+        return Math.max(1, (int) Math.ceil((BEHIND * s.asked() - s.served()) / (1 - BEHIND)));
+    }
+}
--- a/src/main/java/org/beechhoist/local/LoopbackRegion.java
+++ b/src/main/java/org/beechhoist/local/LoopbackRegion.java
@@ -206,7 +206,8 @@
                             : made[0].show());
                 }
             });
-            made[0] = new Worker(m.name, at.getAddress().getHostAddress() + ":" + at.getPort(), m.type, m.zone, m.spot,
+            m.address = at.getAddress().getHostAddress() + ":" + at.getPort();
+            made[0] = new Worker(m.name, m.address, m.type, m.zone, m.spot,
                     layout.leaseMs(), now(), this);
             r.worker = made[0];
         } catch (IOException e) {
--- a/src/main/java/org/beechhoist/standin/Cloud.java
+++ b/src/main/java/org/beechhoist/standin/Cloud.java
@@ -24,6 +24,8 @@
         public final HostType type;
         public final String zone;
         public final boolean spot;
+        /** Where its worker listens; null until whoever runs it says so. */
+        public String address;
         private final long rentedAt;
         private long upAt;
         private boolean up;
@@ -193,7 +195,7 @@
     }
 
     private static ObjectNode row(Machine m, long nowMs) {
-        return Codec.map().put("ref", m.name).put("hosttype", m.type.name()).put("yard", m.zone).put("loaner", m.spot)
+        return Codec.map().put("ref", m.name).put("address", m.address).put("hosttype", m.type.name()).put("yard", m.zone).put("loaner", m.spot)
                 .put("status", m.died ? "failed" : m.up ? "running" : "starting").put("ageS", (nowMs - m.rentedAt) / 1000.0);
     }
 
--- /dev/null
+++ b/src/main/java/org/beechhoist/start/Evidence.java
@@ -0,0 +1,50 @@
+package org.beechhoist.start;
+
+import org.beechhoist.wire.Baton;
+import org.beechhoist.wire.HostReport;
+
+/** What a worker's report proves of a task that is not in it. Silence, and an old report, prove nothing. */
+public enum Evidence {
+    /** A launch may still be on its way, or the report is older than it. */
+    NONE,
+    /** The report was made after any command in flight could have arrived. */
+    NEWER_REPORT,
+    /** The session that the launch was for is over: the worker has ended all that it had, and refuses late commands for it. */
+    NEW_SESSION;
+
+    /**
+     * A launch, as far as this leadership knows.
+     *
+     * @param maybeSent by this leadership or an earlier one
+     * @param provenFrom reports that have not seen this token can't speak for it: an earlier leader's launch might follow them
+     * @param shift the session it was for, and {@code counter} the newest message of the worker when it was sent; 0: another
+     *     leadership sent it, if anybody did
+     */
+    public record Launch(boolean maybeSent, Baton provenFrom, long shift, long counter) {
+    }
+
+    /**
+     * What may still reach a worker.
+     *
+     * @param ordersOut orders sent straight to it have not been answered yet
+     * @param limbo a launch sent with this token or a lower one may be executed minutes late
+     */
+    public record InFlight(boolean ordersOut, Baton limbo) {
+        /** Whether a worker that has seen the token can get no command any more that was sent before. */
+        public boolean over(Baton seen) {
+            return !ordersOut && seen.compareTo(limbo) > 0;
+        }
+    }
+
+    /** What the worker's own report (never an answer to a command or a question) says of a task that it does not hold. */
+    public static Evidence ofAbsence(Launch l, InFlight f, HostReport r) {
+        if (!l.maybeSent) {
+            return NONE; // it was not launched yet: there is nothing to be proven
+        }
+        if (l.shift > 0 && r.shift() > l.shift) {
+            return NEW_SESSION;
+        }
+        boolean seesAll = f.over(r.baton()) && r.baton().compareTo(l.provenFrom) >= 0;
+        return seesAll && r.newerThan(l.shift, l.counter) ? NEWER_REPORT : NONE;
+    }
+}
--- /dev/null
+++ b/src/main/java/org/beechhoist/start/Pace.java
@@ -0,0 +1,87 @@
+package org.beechhoist.start;
+
+import java.util.HashMap;
+import java.util.Map;
+import org.beechhoist.store.Budget;
+import org.beechhoist.wire.Tick;
+
+/**
+ * How fast a start may turn to machines: so many commands and questions a second in all and in each zone, and so many on
+ * their way at once. A part is kept for urgent work. What is held back goes with the answer to the machine's next report,
+ * or a moment later; nothing is lost by it. Calls of cloud and state service have budgets of their own, which hold in a
+ * start as at any other time.
+ */
+public final class Pace {
+    /** What is paced. */
+    public enum Kind {
+        /** Commands that launch or end urgent work, or end what must not run. */
+        URGENT,
+        ORDINARY,
+        /** A silent machine is asked for its report. */
+        QUESTION
+    }
+
+    /** Of each second's part, what only urgent commands may take. */
+    private static final double KEPT = 1 / 3.0;
+    /** A zone may have this much of it: a zone that comes back must not keep the others waiting. */
+    private static final double ZONE_SHARE = 0.6;
+    /** Sockets that a start may fill with what it begins itself; the rest is for workers, users and nodes. */
+    private static final double SOCKETS_SHARE = 1 / 8.0;
+    /** So much of it may be sent at once, and as much comes back in a second: no second, wherever it begins, sees more than all. */
+    private static final double AT_ONCE = 0.5;
+    private static final double LEAST = 20;
+    private static final double MOST = 300;
+
+    private final double perSecond;
+    private final Budget all;
+    private final Map<String, Budget> zones = new HashMap<>();
+    private int inFlight;
+    private int heldBack;
+    private int sent;
+
+    /** @param sockets that this node may have open; 0: no limit */
+    public Pace(int sockets) {
+        this.perSecond = sockets <= 0 ? MOST : Math.max(LEAST, Math.min(MOST, sockets * SOCKETS_SHARE));
+        this.all = new Budget(perSecond * AT_ONCE);
+    }
+
+    /** Commands and questions a second, at most; as many may be on their way at once. */
+    public double perSecond() {
+        return perSecond;
+    }
+
+    /** Whether one may be sent now; it is on its way then, until {@link #over}. */
+    public boolean take(Kind kind, String zone, Tick now) {
+        Budget z = zones.computeIfAbsent(String.valueOf(zone), k -> new Budget(perSecond * AT_ONCE * ZONE_SHARE));
+        double left = kind == Kind.URGENT ? 0 : KEPT;
+        boolean may = all.available(now) >= 1 + left * all.most() && z.available(now) >= 1 + left * z.most()
+                && inFlight < perSecond * (1 - left);
+        if (!may) {
+            heldBack++;
+            return false;
+        }
+        all.take(now, 1);
+        z.take(now, 1);
+        inFlight++;
+        sent++;
+        return true;
+    }
+
+    /** It was answered, or given up. */
+    public void over() {
+        inFlight = Math.max(0, inFlight - 1);
+    }
+
+    public int onTheirWay() {
+        return inFlight;
+    }
+
+    /** How often something had to wait, and what was sent, since the start began. */
+    public int heldBack() {
+        return heldBack;
+    }
+
+    public int sent() {
+        return sent;
+    }
+}
--- /dev/null
+++ b/src/main/java/org/beechhoist/start/Presence.java
@@ -0,0 +1,52 @@
+package org.beechhoist.start;
+
+/**
+ * Whether a machine that has not spoken to this leadership is there. The cloud's list lags: right after a start it names
+ * machines that the last leader has returned, and a plan that counted on them once kept work waiting for 50 machines that
+ * were gone, and then stopped 62 tasks for it.
+ */
+public final class Presence {
+    /** What is to be done about a machine that is silent so far. */
+    public enum Verdict {
+        /** The plan counts on it: it will find this node. */
+        COUNTED_ON,
+        /** The same, and it is asked. */
+        ASKED,
+        /** The plan does not count on it; it is not given up for that. */
+        DOUBTED
+    }
+
+    /**
+     * What is known of one that has not reported to this leadership.
+     *
+     * @param holdsTasks by the records
+     * @param listedUp the cloud's list has it as running
+     * @param unanswered questions to it in a row that nobody answered
+     * @param answered it has answered a question
+     */
+    public record Unheard(boolean holdsTasks, boolean listedUp, int unanswered, boolean answered) {
+    }
+
+    /** Workers without a leader try node after node, a second each; what a start asks before is mostly on its way anyway. */
+    static final long FIRST_ASKED_MS = 1000;
+
+    private Presence() {
+    }
+
+    /**
+     * @param sinceMs since this leadership began
+     * @param allReportedMs by when every living machine should have found this node
+     */
+    public static Verdict of(Unheard u, long sinceMs, long allReportedMs) {
+        if (!u.holdsTasks && !u.listedUp) {
+            return Verdict.COUNTED_ON; // it boots
+        }
+        if (u.answered) {
+            return Verdict.COUNTED_ON;
+        }
+        if (u.unanswered > 0 || sinceMs > allReportedMs) {
+            return Verdict.DOUBTED;
+        }
+        return sinceMs < FIRST_ASKED_MS ? Verdict.COUNTED_ON : Verdict.ASKED;
+    }
+}
--- /dev/null
+++ b/src/main/java/org/beechhoist/start/Squaring.java
@@ -0,0 +1,134 @@
+package org.beechhoist.start;
+
+import org.beechhoist.wire.HostReport;
+
+/**
+ * What is stored of a task, held against what a machine says of it: one decision for every pair. The table stands, with
+ * the proof of each row, in docs/design/start.md; a test goes through all pairs. It serves each report, not those of a start alone.
+ */
+public final class Squaring {
+    /** What records and log say of a task and this machine. */
+    public enum Stored {
+        /** The job is open, the task neither done nor placed anywhere. */
+        NOTHING,
+        /** Placed on this machine, with the attempt that the machine names. */
+        PLACED,
+        /** The same, and its job is cancelled. */
+        CANCELLED,
+        /** Placed, here or elsewhere, under a later attempt than the machine names. */
+        PLACED_LATER,
+        /** Placed under an older attempt than the machine names, or this very attempt elsewhere: no commit of ours says that. */
+        PLACED_OTHERWISE,
+        /** Done. */
+        DONE,
+        /** No open record: the job has ended, or nobody ever submitted it. */
+        NO_JOB,
+        /** There is a record, or a part of the log, that can't be read. */
+        UNREADABLE
+    }
+
+    /** What the machine says. */
+    public enum Said {
+        /** It has not reported to this leadership. */
+        NOTHING_YET,
+        ABSENT,
+        FETCHING,
+        RUNNING,
+        SAVING,
+        /** A state that this version has no word for: it is there. */
+        OTHERWISE_THERE,
+        EXITED_DONE,
+        EXITED_STOPPED,
+        EXITED_ERROR,
+        REFUSED_FULL,
+        REFUSED_BUSY,
+        REFUSED_NO_SUCH,
+        /** Ended for a cause that this version has no word for. */
+        EXITED_OTHERWISE;
+
+        public static Said of(HostReport.Entry e) {
+            return switch (e.state()) {
+                case FETCHING -> FETCHING;
+                case RUNNING -> RUNNING;
+                case SAVING -> SAVING;
+                case OTHER -> OTHERWISE_THERE;
+                case EXITED -> switch (e.cause() == null ? "" : e.cause()) {
+                    case "done" -> EXITED_DONE;
+                    case "stopped" -> EXITED_STOPPED;
+                    case "error" -> EXITED_ERROR;
+                    case "full" -> REFUSED_FULL;
+                    case "busy" -> REFUSED_BUSY;
+                    case "no_such" -> REFUSED_NO_SUCH;
+                    default -> EXITED_OTHERWISE;
+                };
+            };
+        }
+
+        public boolean there() {
+            return this == FETCHING || this == RUNNING || this == SAVING || this == OTHERWISE_THERE;
+        }
+
+        public boolean ended() {
+            return ordinal() >= EXITED_DONE.ordinal();
+        }
+    }
+
+    /** What follows. */
+    public enum Decision {
+        /** It goes on; no order. */
+        KEEP,
+        /** Nothing is certain: it counts as there, and starts nowhere else. */
+        WAIT,
+        /** It certainly is not there: the placement is taken off and the task waits again. */
+        GONE,
+        /** It is recorded as done; it may be forgotten once that is committed. */
+        COUNT_DONE,
+        /** It failed: job or machine is to blame. */
+        COUNT_FAILED,
+        /** The machine has no room for it: it is left alone for a while, the task waits again. */
+        AVOID_MACHINE,
+        /** The job's description is not there yet: the task waits a while. */
+        ASK_LATER,
+        /** It ended without having been done: the task waits again. */
+        PLACE_ANEW,
+        /** Order: end it at once; it counts as there until it is gone. */
+        KILL,
+        /** Order: take the ended attempt off the reports. */
+        FORGET,
+        /** An ended attempt that must stay in the reports for now: a late launch would find it, or the commit is not made. */
+        HOLD,
+        /** Nothing is ordered and nothing new placed beside it: only a record that can be read may say what it is. */
+        LEAVE_ALONE
+    }
+
+    private Squaring() {
+    }
+
+    /**
+     * @param absence what the report proves of a task that is not in it
+     * @param mayForget no command sent before can reach the machine any more, and what is known of the job is committed
+     */
+    public static Decision of(Stored stored, Said said, Evidence absence, boolean mayForget) {
+        if (stored == Stored.UNREADABLE) {
+            return Decision.LEAVE_ALONE;
+        }
+        boolean ours = stored == Stored.PLACED || stored == Stored.CANCELLED;
+        if (said == Said.NOTHING_YET) {
+            return ours ? Decision.WAIT : Decision.KEEP;
+        }
+        if (said == Said.ABSENT) {
+            return !ours ? Decision.KEEP : absence == Evidence.NONE ? Decision.WAIT : Decision.GONE;
+        }
+        if (!ours) {
+            return said.there() ? Decision.KILL : mayForget ? Decision.FORGET : Decision.HOLD;
+        }
+        return switch (said) {
+            case EXITED_DONE -> Decision.COUNT_DONE;
+            case EXITED_ERROR -> Decision.COUNT_FAILED;
+            case REFUSED_FULL, REFUSED_BUSY -> Decision.AVOID_MACHINE;
+            case REFUSED_NO_SUCH -> Decision.ASK_LATER;
+            case EXITED_STOPPED, EXITED_OTHERWISE -> Decision.PLACE_ANEW;
+            default -> stored == Stored.CANCELLED ? Decision.KILL : Decision.KEEP;
+        };
+    }
+}
--- a/src/test/java/org/beechhoist/sim/Lost.java
+++ b/src/test/java/org/beechhoist/sim/Lost.java
@@ -46,6 +46,17 @@
         open.keySet().removeIf(t -> t.job().text().equals(job));
     }
 
+    /** From here on it is counted anew. */
+    void forget() {
+        open.clear();
+        machines = 0;
+        tasks = 0;
+        urgentTasks = 0;
+        again = 0;
+        longestMs = 0;
+        longestUrgentMs = 0;
+    }
+
     List<TaskId> neverBack() {
         return new ArrayList<>(open.keySet());
     }
--- /dev/null
+++ b/src/test/java/org/beechhoist/sim/Toll.java
@@ -0,0 +1,52 @@
+package org.beechhoist.sim;
+
+import java.util.EnumMap;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Set;
+import org.beechhoist.standin.Worker;
+import org.beechhoist.wire.TaskId;
+
+/** What starts cost, seen from outside: how tasks ended that had not completed, and machines returned with work on them. */
+final class Toll {
+    private final Map<Worker.End, Integer> ends = new EnumMap<>(Worker.End.class);
+    /** Tasks that ended otherwise than by completing, for whatever reason. */
+    final Set<TaskId> ended = new HashSet<>();
+    private final Set<TaskId> finished = new HashSet<>();
+    /** Tasks done once more: their result went with a machine or a session before anybody had collected it. */
+    int redone;
+    /** Machines returned that could be reached and held work that was wanted, and how many tasks they held. */
+    int returnedInUse;
+    long returnedTasks;
+
+    void started(TaskId t) {
+        redone += finished.contains(t) ? 1 : 0;
+    }
+
+    void finished(TaskId t) {
+        finished.add(t);
+    }
+
+    void ended(TaskId t, Worker.End why) {
+        ended.add(t);
+        ends.merge(why, 1, Integer::sum);
+    }
+
+    void returned(long tasks) {
+        returnedInUse += tasks > 0 ? 1 : 0;
+        returnedTasks += tasks;
+    }
+
+    int lost(Worker.End why) {
+        return ends.getOrDefault(why, 0);
+    }
+
+    /** From here on it is counted anew. */
+    void forget() {
+        ends.clear();
+        ended.clear();
+        redone = 0;
+        returnedInUse = 0;
+        returnedTasks = 0;
+    }
+}
--- a/src/test/java/org/beechhoist/sim/World.java
+++ b/src/test/java/org/beechhoist/sim/World.java
@@ -14,6 +14,7 @@
 import java.util.SplittableRandom;
 import java.util.function.BiConsumer;
 import java.util.function.Consumer;
+import java.util.function.LongUnaryOperator;
 import java.util.function.Predicate;
 import org.beechhoist.config.Policy;
 import org.beechhoist.config.Settings;
@@ -83,15 +84,29 @@
         private long putsInSecond;
         long mostRequests;
         long mostPuts;
+        /** The same of commands and questions that went straight to machines. */
+        private long directInSecond;
+        long mostDirect;
         /** Refused because a limit was reached. */
         long refused;
 
-        private void second(long now, int puts) {
+        private void turnOver(long now) {
             if (now / 1000 != second) {
                 second = now / 1000;
                 requestsInSecond = 0;
                 putsInSecond = 0;
+                directInSecond = 0;
             }
+        }
+
+        private void direct(long now) {
+            turnOver(now);
+            direct++;
+            mostDirect = Math.max(mostDirect, ++directInSecond);
+        }
+
+        private void second(long now, int puts) {
+            turnOver(now);
             mostRequests = Math.max(mostRequests, ++requestsInSecond);
             putsInSecond += puts;
             mostPuts = Math.max(mostPuts, putsInSecond);
@@ -101,6 +116,7 @@
         void forgetBusiest() {
             mostRequests = 0;
             mostPuts = 0;
+            mostDirect = 0;
         }
 
         String summary() {
@@ -371,6 +387,7 @@
     private final Budget stateWrites;
     private final Budget cloudCalls;
     final Lost lost = new Lost();
+    final Toll toll = new Toll();
     /** Zones that are cut off from everything, and until when. */
     private final Map<String, Long> zoneCuts = new HashMap<>();
     /** How often a node stood still in the middle of a step. */
@@ -519,6 +536,11 @@
         return nodes.length;
     }
 
+    /** Machines that are paid for, those that boot too. */
+    int rented() {
+        return cloud.machines().size();
+    }
+
     int machinesUp() {
         return (int) machines.values().stream().filter(m -> !m.gone).count();
     }
@@ -588,7 +610,7 @@
                 counted.second(now, puts);
             }
             case CLOUD -> counted.cloudCalls++;
-            default -> counted.direct++;
+            default -> counted.direct(now);
         }
     }
 
@@ -640,6 +662,9 @@
                 back.accept(Outcome.answered(429, Codec.map()));
                 return;
             }
+            if (c.path().equals("/machines/return")) {
+                c.body().path("hosts").forEach(h -> returned(h.asText()));
+            }
             Reply r = cloud.handle(now, c.method(), c.path(), c.body());
             if (!trouble) {
                 later(there, () -> back.accept(Outcome.answered(r.status(), copy(r.body()))));
@@ -647,6 +672,14 @@
         });
     }
 
+    /** The cloud is asked to end a machine: does it hold work that is wanted and goes on? */
+    private void returned(String host) {
+        Machine m = machines.get(host);
+        if (m != null && !m.gone && !m.cut() && !zoneCut(m.worker.zone)) {
+            toll.returned(m.worker.onMachine(now).stream().filter(t -> jobs.get(t.job().text()).cancelToldAt < 0).count());
+        }
+    }
+
     private boolean cutOff(Node n) {
         return zoneCut(scale.extent.zoneOf(n.index));
     }
@@ -713,13 +746,15 @@
 
     private void machineChanged(Cloud.Machine m, boolean up) {
         if (up) {
-            Machine machine = new Machine(new Worker(m.name, m.name, m.type, m.zone, m.spot, Math.round(1000 * scale.extent.leaseS), now, this));
+            m.address = m.name;
+            Machine machine = new Machine(new Worker(m.name, m.address, m.type, m.zone, m.spot, Math.round(1000 * scale.extent.leaseS), now, this));
             machines.put(m.name, machine);
             turn(machine);
         } else if (machines.containsKey(m.name) && !machines.get(m.name).gone) {
             Machine machine = machines.get(m.name);
             machine.gone = true;
             for (TaskId t : machine.worker.onMachine(now)) {
+                toll.ended(t, Worker.End.GONE);
                 UserJob j = jobs.get(t.job().text());
                 if (j.cancelToldAt < 0 && !j.spec.service() && !j.spec.jobClass().equals("broken")) {
                     lost.task(t, j.spec.urgency().compareTo(Urgency.URGENT) <= 0, now);
@@ -831,6 +866,7 @@
         started++;
         lost.back(task, now);
         starts.merge(task, 1, Integer::sum);
+        toll.started(task);
         UserJob j = jobs.get(task.job().text());
         JobSpec s = j.spec;
         for (Machine m : machines.values()) {
@@ -869,6 +905,7 @@
 
     @Override
     public void ended(Worker on, TaskId task, long attempt, long lostMs, Worker.End why) {
+        toll.ended(task, why);
         Machine m = machines.get(on.name);
         if (m != null && why == Worker.End.STOPPED && lostMs > 0) {
             UserJob j = jobs.get(task.job().text());
@@ -881,6 +918,7 @@
     public void finished(Worker on, TaskId task, long attempt) {
         UserJob j = jobs.get(task.job().text());
         lost.back(task, now);
+        toll.finished(task);
         j.done.add(task.index());
         j.doneAt = now;
     }
@@ -1197,6 +1235,45 @@
         nodes[node].freezeAt(step, forMs);
     }
 
+    /** What somebody else writes to the state service. */
+    void write(String key, JsonNode value) {
+        ObjectNode txn = Codec.map();
+        txn.putArray("guards");
+        ((ObjectNode) txn.putArray("then").addObject().put("put", key)).set("data", value);
+        state.handle(now, "POST", "/commit", txn, r -> { });
+    }
+
+    JsonNode read(String key) {
+        JsonNode[] out = new JsonNode[1];
+        state.handle(now, "GET", "/store/" + key, null, r -> out[0] = copy(r.body()).path("data"));
+        return out[0];
+    }
+
+    /** Tasks on machines now, by the rules' count. */
+    List<TaskId> running() {
+        List<TaskId> out = new ArrayList<>();
+        machines.values().stream().filter(m -> !m.gone).forEach(m -> out.addAll(m.worker.onMachine(now)));
+        return out;
+    }
+
+    /** Tasks on machines that hang past their lease: they are on them no longer, though nobody has told of it. */
+    Set<TaskId> lapsedUnseen() {
+        Set<TaskId> out = new HashSet<>();
+        for (Machine m : machines.values()) {
+            if (!m.gone && now < m.hangUntil && m.worker.onMachine(now).isEmpty()) {
+                out.addAll(m.worker.onMachine(0));
+            }
+        }
+        return out;
+    }
+
+    /** All controllers end, each back after so long by its number. */
+    void crashAll(LongUnaryOperator forMs) {
+        for (int i = 0; i < nodes.length; i++) {
+            crash(i, forMs.applyAsLong(i));
+        }
+    }
+
     /** Keys that the state service holds under a prefix. */
     List<String> keys(String prefix) {
         List<String> out = new ArrayList<>();
