The pace of a start suits a large fleet; notes on the fleet look at one part at a time

And each second the notes worked out every machine's part and content.

Change: a quarter of the sockets a second, an eighth on their way; a leader's notes build one part a turn. An order whose machine was given up meanwhile is counted as answered.

--- a/src/main/java/org/beechhoist/core/FleetNotes.java
+++ b/src/main/java/org/beechhoist/core/FleetNotes.java
@@ -36,6 +36,7 @@
     private static final long AGAIN_MS = 500;
     private static final int MOST_TRIES = 6;
     private static final int MOST_IMAGES = 8;
+    private static final int USUAL_BYTES = 80;
 
     private record Written(long content, Tick at) {
     }
@@ -53,6 +54,8 @@
     private boolean inFlight;
     private int cursor;
     private int parts = 1;
+    /** The largest machine that was met, in bytes. */
+    private int largest = USUAL_BYTES;
     private int taken;
 
     FleetNotes(Turn turn, Settings settings, StoreClient store, Election election, Budget requests, Budget writes, Book book) {
@@ -156,45 +159,41 @@
 
     // ---- writing ----
 
-    /** Writes one part, if it is time and writes are to spare. */
+    /** Looks at one part, and writes it if it has changed and writes are to spare. */
     void tick() {
         if (inFlight || turn.now().before(next) || writes.available(turn.now()) < PLENTY * writes.most()) {
             return;
         }
-        next = turn.now().plusMs(Math.round(1000 / Math.max(0.02, SHARE * settings.stateLimits().writeRps())));
-        Map<Integer, List<FleetSnapshot.Machine>> all = cut();
-        for (int tried = 0; tried < parts; tried++) {
-            int part = cursor++ % parts;
-            FleetSnapshot s = new FleetSnapshot(part, parts, turn.wallMs(), all.getOrDefault(part, List.of()));
-            Written old = written.get(part);
-            long content = s.content();
-            if (old == null || old.content != content || turn.now().since(old.at) > RENEW_MS) {
-                ObjectNode value = s.toNode();
-                if (Codec.countedBytes(value) <= settings.stateLimits().valueBytes()) {
-                    write(part, value, new Written(content, turn.now()));
-                    return;
-                }
+        int count = (int) book.hosts().stream().filter(FleetNotes::noted).count();
+        parts = FleetSnapshot.parts(count, largest, settings.stateLimits().valueBytes());
+        int part = cursor++ % parts;
+        FleetSnapshot s = new FleetSnapshot(part, parts, turn.wallMs(), machines(part));
+        Written old = written.get(part);
+        long content = s.content();
+        if (old == null || old.content != content || turn.now().since(old.at) > RENEW_MS) {
+            ObjectNode value = s.toNode();
+            if (Codec.countedBytes(value) <= settings.stateLimits().valueBytes()) {
+                write(part, value, new Written(content, turn.now()));
             }
+            return;
         }
-        Integer left = beyond.stream().filter(p -> p >= parts).findFirst().orElse(null);
-        if (left != null) {
-            write(left, null, null); // the fleet was larger once
-        }
+        // The fleet was larger once: what it was cut into then is in the way of nobody, but stale.
+        beyond.stream().filter(p -> p >= parts).findFirst().ifPresent(p -> write(p, null, null));
     }
 
-    private Map<Integer, List<FleetSnapshot.Machine>> cut() {
-        List<FleetSnapshot.Machine> machines = new ArrayList<>();
-        int largest = 1;
+    private static boolean noted(Host h) {
+        return h.lastCheckin != null && h.known() && !h.returning;
+    }
+
+    private List<FleetSnapshot.Machine> machines(int part) {
+        List<FleetSnapshot.Machine> out = new ArrayList<>();
         for (Host h : book.hosts()) {
-            if (h.lastCheckin != null && h.known() && !h.returning) {
+            if (noted(h) && FleetSnapshot.partOf(h.id, parts) == part) {
                 FleetSnapshot.Machine m = machine(h);
                 largest = Math.max(largest, FleetSnapshot.bytes(m));
-                machines.add(m);
+                out.add(m);
             }
         }
-        parts = FleetSnapshot.parts(machines.size(), largest, settings.stateLimits().valueBytes());
-        Map<Integer, List<FleetSnapshot.Machine>> out = new HashMap<>();
-        machines.forEach(m -> out.computeIfAbsent(FleetSnapshot.partOf(m.id(), parts), k -> new ArrayList<>()).add(m));
         return out;
     }
 
@@ -219,6 +218,7 @@
             txn.put(FleetSnapshot.key(part), value);
         }
         inFlight = true;
+        next = turn.now().plusMs(Math.round(1000 / Math.max(0.02, SHARE * settings.stateLimits().writeRps())));
         requests.take(turn.now(), 1);
         writes.take(turn.now(), 1);
         long reign = book.reign();
--- a/src/main/java/org/beechhoist/core/Orders.java
+++ b/src/main/java/org/beechhoist/core/Orders.java
@@ -93,9 +93,12 @@
         h.ordersInFlight++;
         long r = book.reign();
         turn.command(election.validUntil(), Calls.Target.HOST, h.address, "POST", "/orders", body, DIRECT_TIMEOUT_MS, o -> {
-            if (r == book.reign() && book.known(h.id) == h) {
+            if (r != book.reign()) {
+                return;
+            }
+            starting.answered();
+            if (book.known(h.id) == h) {
                 h.ordersInFlight--;
-                starting.answered();
                 ordersDone(h, o, launches, baton);
             }
         });
--- a/src/main/java/org/beechhoist/start/Pace.java
+++ b/src/main/java/org/beechhoist/start/Pace.java
@@ -27,11 +27,14 @@
     private static final double ZONE_SHARE = 0.6;
     /** Sockets that a start may fill with what it begins itself; the rest is for workers, users and nodes. */
     private static final double SOCKETS_SHARE = 1 / 8.0;
+    /** A call to a living machine takes milliseconds: at an eighth of the sockets a second 4,000 machines waited half a minute. */
+    private static final double CALLS_A_SOCKET = 2;
     /** So much of it may be sent at once, and as much comes back in a second: no second, wherever it begins, sees more than all. */
     private static final double AT_ONCE = 0.5;
     private static final double LEAST = 20;
     private static final double MOST = 300;
 
+    private final double atOnce;
     private final double perSecond;
     private final Budget all;
     private final Map<String, Budget> zones = new HashMap<>();
@@ -41,11 +44,12 @@
 
     /** @param sockets that this node may have open; 0: no limit */
     public Pace(int sockets) {
-        this.perSecond = sockets <= 0 ? MOST : Math.max(LEAST, Math.min(MOST, sockets * SOCKETS_SHARE));
+        this.atOnce = sockets <= 0 ? MOST : Math.max(LEAST, Math.min(MOST, sockets * SOCKETS_SHARE));
+        this.perSecond = CALLS_A_SOCKET * atOnce;
         this.all = new Budget(perSecond * AT_ONCE);
     }
 
-    /** Commands and questions a second, at most; as many may be on their way at once. */
+    /** Commands and questions a second, at most; half as many may be on their way at once. */
     public double perSecond() {
         return perSecond;
     }
@@ -55,7 +59,7 @@
         Budget z = zones.computeIfAbsent(String.valueOf(zone), k -> new Budget(perSecond * AT_ONCE * ZONE_SHARE));
         double left = kind == Kind.URGENT ? 0 : KEPT;
         boolean may = all.available(now) >= 1 + left * all.most() && z.available(now) >= 1 + left * z.most()
-                && inFlight < perSecond * (1 - left);
+                && inFlight < atOnce * (1 - left);
         if (!may) {
             heldBack++;
             return false;
