Clean-up: a count that nobody asked for, and a flag that was always true

Read again after the change: FleetNotes kept a field and an accessor for what one line of log needs; Starting.tick was told each time that all records are read, which is when it is called.

No change in behaviour.

--- a/src/main/java/org/beechhoist/core/FleetNotes.java
+++ b/src/main/java/org/beechhoist/core/FleetNotes.java
@@ -56,7 +56,6 @@
     private int parts = 1;
     /** The largest machine that was met, in bytes. */
     private int largest = USUAL_BYTES;
-    private int taken;
 
     FleetNotes(Turn turn, Settings settings, StoreClient store, Election election, Budget requests, Budget writes, Book book) {
         this.turn = turn;
@@ -75,16 +74,10 @@
         inFlight = false;
         cursor = 0;
         parts = 1;
-        taken = 0;
         next = turn.now().plusMs(FIRST_MS);
         read(null, new ArrayList<>(), 0, 0);
     }
 
-    /** Machines that were entered from what an earlier leader noted. */
-    int taken() {
-        return taken;
-    }
-
     // ---- reading ----
 
     private void read(String after, List<FleetSnapshot> whole, int unread, int tries) {
@@ -132,19 +125,19 @@
             LOG.warn("notes on the fleet: {} parts taken, {} too old, {} torn or foreign: the cloud's list and reports tell the rest", usable.size(),
                     whole.size() - usable.size(), bad);
         }
-        FleetSnapshot.merged(usable).values().forEach(this::enter);
+        long taken = FleetSnapshot.merged(usable).values().stream().filter(this::enter).count();
         if (taken > 0) {
             LOG.info("notes on the fleet: {} machines known before they speak", taken);
             book.replan();
         }
     }
 
-    private void enter(FleetSnapshot.Machine m) {
+    /** Whether it was not known yet. */
+    private boolean enter(FleetSnapshot.Machine m) {
         Host h = book.host(m.id());
         if (h.known()) {
-            return; // it has spoken, or the list was quicker
+            return false; // it has spoken, or the list was quicker
         }
-        taken++;
         h.type = m.type();
         h.zone = m.zone();
         h.spot = m.spot();
@@ -155,6 +148,7 @@
             h.rentedAt = turn.now().plusMs(Math.min(0, m.rentedWallMs() - turn.wallMs()));
         }
         h.images.putAll(m.images());
+        return true;
     }
 
     // ---- writing ----
--- a/src/main/java/org/beechhoist/core/Leader.java
+++ b/src/main/java/org/beechhoist/core/Leader.java
@@ -236,7 +236,7 @@
         if (!active() || deaf()) {
             return;
         }
-        starting.tick(true);
+        starting.tick();
         for (Host h : new ArrayList<>(book.hosts())) {
             if (!h.placements.isEmpty() && book.lapse(h).before(turn.now()) && h.placements.values().stream().allMatch(p -> p.committed)) {
                 departures.clear(h, "its lease ran out");
--- a/src/main/java/org/beechhoist/core/Starting.java
+++ b/src/main/java/org/beechhoist/core/Starting.java
@@ -59,12 +59,12 @@
         return progression.phase().compareTo(Progression.Phase.LISTENING) > 0;
     }
 
-    /** Looks how far it has come; every phase leaves a line. */
-    void tick(boolean read) {
+    /** Looks how far it has come, all records being known; every phase leaves a line. */
+    void tick() {
         if (over()) {
             return;
         }
-        facts = count(read);
+        facts = count();
         Progression.Phase before = progression.phase();
         while (progression.advance(turn.now(), facts)) {
             LOG.info("start: {} is over after {} s, {} of {} machines heard, {} placements in doubt, {} orders waiting",
@@ -75,7 +75,7 @@
         }
     }
 
-    private Progression.Facts count(boolean read) {
+    private Progression.Facts count() {
         int expected = 0;
         int heard = 0;
         int doubt = 0;
@@ -89,7 +89,7 @@
             doubt += spoke ? h.inDoubt : h.placements.size();
             waiting += h.outbox.size();
         }
-        return new Progression.Facts(read, listed, expected, heard, doubt, waiting);
+        return new Progression.Facts(true, listed, expected, heard, doubt, waiting);
     }
 
     // ---- machines that have not spoken ----
--- a/src/main/java/org/beechhoist/start/Progression.java
+++ b/src/main/java/org/beechhoist/start/Progression.java
@@ -43,7 +43,7 @@
     private final long listeningMs;
     private final long leaseMs;
     private Phase phase = Phase.READING;
-    private Tick began;
+    private final Tick began;
     private Tick phaseBegan;
     private Tick read;
 
