Triage: under overload jobs are left behind so that others are in time

Cause: with more work than machines all jobs began as late as they might and ended just too late; the newest, whose promise of a start was the nearest, went first. Off with triage = false.

--- a/src/main/java/org/beechhoist/config/Policy.java
+++ b/src/main/java/org/beechhoist/config/Policy.java
@@ -9,11 +9,12 @@
  * @param patience the share of a task's slack that it waits for a machine at the lowest price
  * @param fleetNotes whether what is known of the machines is stored for the next leader
  * @param servedFloor whether a class or team that falls below its half comes first
+ * @param triage whether jobs are left behind under overload, so that others are in time
  * @param preemptCpuS work thrown away for one task's sake, in seconds of as many CPUs as it needs
  */
 public record Policy(int searchIterations, long searchMs, long searchEveryMs, Evaluation.Weights weights,
         double patience, double preemptCpuS, long idleSpotMs, long idleOrdinaryMs, long silentMs, Elastic elastic,
-        Cron cron, boolean fleetNotes, boolean servedFloor) {
+        Cron cron, boolean fleetNotes, boolean servedFloor, boolean triage) {
     /**
      * Jobs whose width changes while they run.
      *
@@ -39,20 +40,25 @@
     }
 
     public static final Policy DEFAULT = new Policy(300, 500, 10_000, Evaluation.Weights.DEFAULT, 0.3, 30, 20_000,
-            4_000, 12_000, Elastic.OFF, Cron.OFF, true, false);
+            4_000, 12_000, Elastic.OFF, Cron.OFF, true, false, true);
 
     public Policy with(Elastic other) {
         return new Policy(searchIterations, searchMs, searchEveryMs, weights, patience, preemptCpuS, idleSpotMs,
-                idleOrdinaryMs, silentMs, other, cron, fleetNotes, servedFloor);
+                idleOrdinaryMs, silentMs, other, cron, fleetNotes, servedFloor, triage);
     }
 
     public Policy with(boolean notes, boolean floor) {
         return new Policy(searchIterations, searchMs, searchEveryMs, weights, patience, preemptCpuS, idleSpotMs,
-                idleOrdinaryMs, silentMs, elastic, cron, notes, floor);
+                idleOrdinaryMs, silentMs, elastic, cron, notes, floor, triage);
     }
 
     public Policy with(Cron other) {
         return new Policy(searchIterations, searchMs, searchEveryMs, weights, patience, preemptCpuS, idleSpotMs,
-                idleOrdinaryMs, silentMs, elastic, other, fleetNotes, servedFloor);
+                idleOrdinaryMs, silentMs, elastic, other, fleetNotes, servedFloor, triage);
+    }
+
+    public Policy withTriage(boolean on) {
+        return new Policy(searchIterations, searchMs, searchEveryMs, weights, patience, preemptCpuS, idleSpotMs,
+                idleOrdinaryMs, silentMs, elastic, cron, fleetNotes, servedFloor, on);
     }
 }
--- a/src/main/java/org/beechhoist/config/PolicyScript.java
+++ b/src/main/java/org/beechhoist/config/PolicyScript.java
@@ -124,7 +124,8 @@
                         r.number("elastic_worth", d.elastic().worth(), 0, 1e6)),
                 new Policy.Cron(r.flag("cron", d.cron().on()),
                         r.millis("once_keep_s", d.cron().onceKeepMs(), 60, 3.2e7), r.millisByName("once_keep", 60, 3.2e7)),
-                r.flag("fleet_notes", d.fleetNotes()), r.flag("served_floor", d.servedFloor()));
+                r.flag("fleet_notes", d.fleetNotes()), r.flag("served_floor", d.servedFloor()),
+                r.flag("triage", d.triage()));
         for (LuaValue k : t.keys()) {
             if (!known.contains(k.tojstring())) {
                 throw new Bad(r.at(k.tojstring()) + "unknown setting " + k.tojstring() + "; known are "
--- a/src/main/java/org/beechhoist/core/Job.java
+++ b/src/main/java/org/beechhoist/core/Job.java
@@ -51,6 +51,8 @@
     boolean guaranteed;
     /** Whether it goes first, for its class or team is below its half. */
     boolean lifted;
+    /** Whether it is left behind under overload, so that others are in time. */
+    boolean behind;
 
     Job(JobRecord record, Revision version, Tick submitted) {
         this.record = record;
--- a/src/main/java/org/beechhoist/core/Leader.java
+++ b/src/main/java/org/beechhoist/core/Leader.java
@@ -56,6 +56,7 @@
     /** Null where they are off: nothing of them is loaded then. */
     private final FleetNotes notes;
     private final ServedFloor floor;
+    private final Overload overload;
 
     Leader(Turn turn, Settings settings, Policy policy, SplittableRandom random, StoreClient store,
             Election election, Budget requests, Budget writes, Types types, UserApi users, OnceKeys onceKeys,
@@ -136,10 +137,12 @@
         this.narrowing = new Narrowing(turn, policy, types, book, ordering, admission, provisioner.renting(),
                 elastic);
         this.preemption = new Preemption(turn, policy, types, book, ordering, admission, stopping);
+        this.overload = policy.triage()
+                ? new Overload(turn, settings, types, book, estimates, ordering, admission, provisioner.renting()) : null;
         this.schedules = policy.cron().on()
                 ? new Schedules(turn, settings, store, election, requests, writes, book, loading, users, onceKeys) : null;
         this.notes = policy.fleetNotes() ? new FleetNotes(turn, settings, store, election, requests, writes, book) : null;
-        this.floor = policy.servedFloor() ? new ServedFloor(turn, settings, store, election, requests, writes, book, estimates) : null;
+        this.floor = policy.servedFloor() ? new ServedFloor(turn, settings, store, election, requests, writes, book, estimates, ordering) : null;
     }
 
     void begin() {
@@ -249,6 +252,9 @@
             }
         }
         elastic.tick();
+        if (overload != null) {
+            overload.tick();
+        }
         book.replan();
         provisioner.tick(planner.current());
         logStalled();
--- a/src/main/java/org/beechhoist/core/Ordering.java
+++ b/src/main/java/org/beechhoist/core/Ordering.java
@@ -10,18 +10,24 @@
 import org.beechhoist.config.Policy;
 import org.beechhoist.config.Settings;
 import org.beechhoist.wire.JobRef;
+import org.beechhoist.wire.JobSpec;
 
 /** In which order waiting jobs are planned: by urgency and guarantee, then by what is promised of them. */
 final class Ordering {
     /** How long a job may wait that no objective speaks for, or none any more. */
     private static final long NO_OBJECTIVE_MS = 300_000;
     private static final int FIRST = -1;
+    private static final int LAST = Integer.MAX_VALUE;
+    /** A job that is late by less than this may still be in time, for lengths are guesses. */
+    private static final long GUESSED_MS = 3000;
+    private static final double SERVED_TIMES = 1.5;
 
     private final Turn turn;
     private final Settings settings;
     private final Policy policy;
     private final Book book;
     private final Estimates estimates;
+    private boolean overloaded;
 
     Ordering(Turn turn, Settings settings, Policy policy, Book book, Estimates estimates) {
         this.turn = turn;
@@ -65,7 +71,63 @@
     }
 
     private long stillOpen(long latest, long candidate) {
-        return candidate + 3000 < turn.now().ms() ? latest : Math.min(latest, candidate);
+        return candidate + GUESSED_MS < turn.now().ms() ? latest : Math.min(latest, candidate);
+    }
+
+    /** By when the job counts as served, from its submission on: the last of what its class is promised, or 1.5 times its deadline. */
+    long servedWithinMs(JobSpec s) {
+        double most = s.deadlineS() == null ? 0 : SERVED_TIMES * s.deadlineS();
+        for (Settings.Objective o : settings.objectives()) {
+            if (o.kind().equals("finished") && s.jobClass().equals(o.jobClass())) {
+                most = Math.max(most, o.withinS());
+            }
+        }
+        return most == 0 ? NO_OBJECTIVE_MS : Math.round(1000 * most);
+    }
+
+    /** The first moment by which the job is to be over that it can still meet, or null: all are missed, or there is none. */
+    Long overBy(Job j) {
+        long least = turn.now().ms() + estimates.lengthMs(j.spec()) - GUESSED_MS;
+        Long first = null;
+        for (long within : overWithinMs(j.spec())) {
+            long due = j.submitted.ms() + within;
+            first = due >= least && (first == null || due < first) ? Long.valueOf(due) : first;
+        }
+        return first;
+    }
+
+    /** Whether it is promised at all by when the job is over. */
+    boolean hasEnd(JobSpec s) {
+        return !overWithinMs(s).isEmpty();
+    }
+
+    private List<Long> overWithinMs(JobSpec s) {
+        List<Long> out = new ArrayList<>();
+        if (s.deadlineS() != null) {
+            out.add(Math.round(1000 * s.deadlineS()));
+            out.add(Math.round(1000 * SERVED_TIMES * s.deadlineS()));
+        }
+        for (Settings.Objective o : settings.objectives()) {
+            if (s.jobClass().equals(o.jobClass()) && o.kind().equals("finished")) {
+                out.add(Math.round(1000 * o.withinS()));
+            } else if (s.jobClass().equals(o.jobClass()) && o.kind().equals("deadline") && s.deadlineS() != null) {
+                out.add(Math.round(1000 * o.times() * s.deadlineS()));
+            }
+        }
+        return out;
+    }
+
+    /**
+     * Under overload a promise of a start would have every job begun and none ended, the newest first: what counts is by when
+     * it must begin to be over in time.
+     */
+    private long beginBy(Job j) {
+        Long due = overloaded ? overBy(j) : null;
+        return due == null ? latestStart(j) : due - estimates.lengthMs(j.spec());
+    }
+
+    void overloaded(boolean is) {
+        overloaded = is;
     }
 
     long patience(Job j) {
@@ -95,7 +157,7 @@
         List<Ranked> ranked = new ArrayList<>();
         for (Job j : book.jobs()) {
             if (!j.record.cancelled() && j.record.waitingCount() > 0) {
-                ranked.add(new Ranked(j, latestStart(j)));
+                ranked.add(new Ranked(j, beginBy(j)));
             }
         }
         ranked.sort(Comparator.comparingInt((Ranked r) -> rank(r.job)).thenComparingLong(Ranked::latest));
@@ -121,12 +183,20 @@
 
     /**
      * More urgent work first, and what a team is guaranteed before what it borrows: no search may trade that. What is lifted
-     * for its class's or team's half comes before all; {@link ServedFloor} lifts nothing over another team's guarantee.
+     * for its class's or team's half comes before all; {@link ServedFloor} lifts nothing over another team's guarantee. What is
+     * left behind under overload comes after all.
      */
-    private static int rank(Job j) {
+    static int rank(Job j) {
         if (j.lifted) {
             return FIRST;
         }
+        if (j.behind) {
+            return LAST;
+        }
+        return usualRank(j);
+    }
+
+    static int usualRank(Job j) {
         return 2 * j.spec().urgency().ordinal() + (j.guaranteed ? 0 : 1);
     }
 }
--- a/src/main/java/org/beechhoist/core/Renting.java
+++ b/src/main/java/org/beechhoist/core/Renting.java
@@ -26,6 +26,8 @@
     private static final Logger LOG = LoggerFactory.getLogger(Renting.class);
     private static final int MAX_RENTAL = 50;
     private static final long NO_CAPACITY_PAUSE_MS = 20_000;
+    /** So long after a refusal the cloud is thought to have no more of the kind. */
+    private static final long SHORT_MS = 60_000;
     /** How late a task may begin before a machine is rented, by its slack; and how many of a job beyond the plan count. */
     private static final long LEAST_LATE_MS = 5000;
     private static final long LATE_MS = 45_000;
@@ -43,6 +45,8 @@
         /** Machines asked for and not answered yet. */
         int renting;
         Tick refusedUntil = Tick.ZERO;
+        /** When it was last refused, or granted in part only; null: it was not since it was granted in full. */
+        Tick shortAt;
         /** Machines this turn's plan would like. */
         int wanted;
 
@@ -135,6 +139,7 @@
                         if (old != null) {
                             o.renting = old.renting;
                             o.refusedUntil = old.refusedUntil;
+                            o.shortAt = old.shortAt;
                         }
                         offers.put(o.key(), o);
                         old = o;
@@ -147,6 +152,16 @@
         return out;
     }
 
+    /** Whether more machines for such a task may be had: none of the kind was refused lately, by all that is known. */
+    boolean mayGrow(JobSpec s) {
+        for (Offer o : offers.values()) {
+            if (o.suits(s) && (o.shortAt == null || turn.now().since(o.shortAt) > SHORT_MS)) {
+                return true;
+            }
+        }
+        return offers.isEmpty();
+    }
+
     /** Room is being made at this moment: plans made before don't know it, and nothing is rented by them. */
     void wait(Tick now) {
         lastRented = lastRented.before(now) ? now : lastRented;
@@ -295,6 +310,7 @@
                 }
                 LOG.info("rental {}: {} of {} {} in {}{}", name, got, number, offer.type.name(), offer.zone,
                         offer.spot ? ", spot" : "");
+                offer.shortAt = got < number ? turn.now() : null;
                 if (got < number) {
                     offer.refusedUntil = turn.now().plusMs(NO_CAPACITY_PAUSE_MS);
                 }
@@ -304,6 +320,7 @@
                 LOG.warn("rental {} is refused as malformed", name);
             } else if (o.is(503) && o.body() != null && "no capacity".equals(o.body().path("error").asText())) {
                 offer.renting -= number;
+                offer.shortAt = turn.now();
                 offer.refusedUntil = turn.now().plusMs(NO_CAPACITY_PAUSE_MS);
             } else {
                 turn.after(1500, () -> {
--- a/src/main/java/org/beechhoist/core/ServedFloor.java
+++ b/src/main/java/org/beechhoist/core/ServedFloor.java
@@ -24,9 +24,6 @@
 /** Counts what each class and team asks and is served, keeps that through take-overs, and lifts jobs where one is behind its half. */
 final class ServedFloor {
     private static final Logger LOG = LoggerFactory.getLogger(ServedFloor.class);
-    /** How long a job has that no objective and no deadline speaks for. */
-    private static final long USUAL_MS = 300_000;
-    private static final double DEADLINE_TIMES = 1.5;
     private static final long WRITE_EVERY_MS = 15_000;
     private static final double PLENTY = 0.5;
     private static final long AGAIN_MS = 1000;
@@ -40,6 +37,7 @@
     private final Budget writes;
     private final Book book;
     private final Estimates estimates;
+    private final Ordering ordering;
     private final Ledger ledger = new Ledger();
     private final Set<JobRef> counted = new HashSet<>();
     private Set<JobRef> lifted = Set.of();
@@ -48,7 +46,9 @@
     private boolean known;
     private Tick nextWrite = Tick.ZERO;
 
-    ServedFloor(Turn turn, Settings settings, StoreClient store, Election election, Budget requests, Budget writes, Book book, Estimates estimates) {
+    ServedFloor(Turn turn, Settings settings, StoreClient store, Election election, Budget requests, Budget writes, Book book, Estimates estimates,
+            Ordering ordering) {
+        this.ordering = ordering;
         this.turn = turn;
         this.settings = settings;
         this.store = store;
@@ -104,16 +104,9 @@
         });
     }
 
-    /** By when the job counts as served, by the time of day: the last of what its class is promised, or 1.5 times its deadline. */
+    /** By when the job counts as served, by the time of day. */
     private long limitWallMs(Job j) {
-        JobSpec s = j.spec();
-        double most = s.deadlineS() == null ? 0 : DEADLINE_TIMES * s.deadlineS();
-        for (Settings.Objective o : settings.objectives()) {
-            if (o.jobClass() != null && o.jobClass().equals(s.jobClass()) && o.kind().equals("finished")) {
-                most = Math.max(most, o.withinS());
-            }
-        }
-        return j.record.submittedWallMs + (most == 0 ? USUAL_MS : Math.round(1000 * most));
+        return j.record.submittedWallMs + ordering.servedWithinMs(j.spec());
     }
 
     private static List<String> groups(JobSpec s) {
