--- a/src/main/java/org/beechhoist/core/Job.java
+++ b/src/main/java/org/beechhoist/core/Job.java
@@ -19,6 +19,11 @@
 
 /** An open job in the leader's book. */
 final class Job {
+    private static final int SUSPECT_MACHINES = 2;
+    private static final int SUSPECT_FAILURES = 3;
+    /** Failures that an earlier leader counted, on machines that nobody knows any more. */
+    private static final int SUSPECT_BEFORE = 8;
+
     final JobRecord record;
     Revision version;
     /** Chunks as last committed, to write only what changed. */
@@ -89,6 +94,20 @@
         return urgency < 0 || (urgency == 0 && guaranteed && borrowed);
     }
 
+    /**
+     * Whether it may have been submitted with a mistake: several tasks failed, on more than one machine as far as this leader
+     * saw them, and none is done. It is tried with one task at a time then, and nobody makes room or rents for it.
+     */
+    boolean suspect() {
+        return record.done.size() == 0
+                && (failedOn.size() >= SUSPECT_MACHINES && record.failures >= SUSPECT_FAILURES || record.failures >= SUSPECT_BEFORE);
+    }
+
+    /** How many of its tasks may be placed now beside those that are. */
+    int mayTry(int waiting) {
+        return suspect() ? Math.min(waiting, record.live.isEmpty() ? 1 : 0) : waiting;
+    }
+
     /** What it is called once nothing of it is live. */
     String finalState() {
         return record.cancelled() ? "cancelled" : "done";
--- a/src/main/java/org/beechhoist/core/Planner.java
+++ b/src/main/java/org/beechhoist/core/Planner.java
@@ -180,7 +180,7 @@
             if (j.spec().gang() && !j.record.live.isEmpty()) {
                 continue; // what is left of a gang ends first, then all of it starts anew
             }
-            int sure = elastic.sure(j);
+            int sure = j.mayTry(elastic.sure(j));
             if (sure > 0) {
                 next.place(entry(j, sure, ordering.patience(j)));
             }
--- a/src/main/java/org/beechhoist/core/Preemption.java
+++ b/src/main/java/org/beechhoist/core/Preemption.java
@@ -77,7 +77,7 @@
 
     private boolean mayAsk(Job j) {
         JobSpec s = j.spec();
-        return !j.behind && !s.gang() && !s.sameZone() && !s.apart() && j.notBefore.ms() <= turn.now().ms()
+        return !j.behind && !j.suspect() && !s.gang() && !s.sameZone() && !s.apart() && j.notBefore.ms() <= turn.now().ms()
                 && !turn.now().before(j.nextPreemption) && !turn.now().before(j.nextNarrowing) && outranksSome(j);
     }
 
--- a/src/main/java/org/beechhoist/core/Renting.java
+++ b/src/main/java/org/beechhoist/core/Renting.java
@@ -201,14 +201,14 @@
                     space.take(r.spec());
                 }
             }
-            if (j != null && !r.wide() && begin - now >= rentAfter.computeIfAbsent(j, this::rentAfterMs)) {
+            if (j != null && !r.wide() && !j.suspect() && begin - now >= rentAfter.computeIfAbsent(j, this::rentAfterMs)) {
                 late.computeIfAbsent(j, k -> new ArrayList<>()).add(begin);
             }
         }
         spaces.addAll(booting.values());
         late.forEach((j, begins) -> want(j, begins, all, spaces));
         for (Job j : book.jobs()) {
-            int unplaced = j.record.cancelled() || !j.notBefore.before(turn.now()) ? 0 : plan.unplaced(j.ref());
+            int unplaced = j.record.cancelled() || j.suspect() || !j.notBefore.before(turn.now()) ? 0 : plan.unplaced(j.ref());
             if (unplaced > 0) {
                 want(j, Collections.nCopies(Math.min(MAX_UNPLACED, unplaced), Long.MAX_VALUE), all, spaces);
             }
