Polls of one time share one question to the state service, and leave a part of the requests to submissions

Change: polls gather so long that all nodes' together take a fifth of the requests; 30% of a node's are left for what must not wait.

--- a/src/main/java/org/beechhoist/core/StatusReads.java
+++ b/src/main/java/org/beechhoist/core/StatusReads.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.function.BiConsumer;
+import org.beechhoist.config.Settings;
 import org.beechhoist.store.Budget;
 import org.beechhoist.store.JobRecord;
 import org.beechhoist.store.StoreClient;
@@ -22,10 +23,12 @@
  */
 final class StatusReads {
     private static final int REMEMBERED = 3000;
-    /** Where requests run short, polls gather for this long. */
-    private static final long GATHER_MS = 100;
-    /** Of a second's requests; with less left, polls gather. */
-    private static final double SHORT = 0.6;
+    /** Of all requests to the state service, what all nodes' polls together are asked with; the polls of one time share one. */
+    private static final double POLLS_SHARE = 0.2;
+    /** Users wait 2 s for an answer: with so many nodes or so few requests that this is not enough, polls cost more. */
+    private static final long LONGEST_GATHER_MS = 500;
+    /** Of a second's requests: the rest is for submissions and cancellations, which no poll may push aside. */
+    private static final double LEFT = 0.3;
 
     private record Known(Revision version, ObjectNode state) {
     }
@@ -47,18 +50,20 @@
     private final StoreClient store;
     private final Budget requests;
     private final int mostGuards;
+    private final long gatherMs;
     private final Map<JobRef, Known> known = Recent.used(REMEMBERED);
     private List<Poll> waiting = new ArrayList<>();
     private boolean asking;
     private boolean timed;
     private Tick nextAsk = Tick.ZERO;
 
-    /** @param txnOps the state service's limit of changes; it takes four times as many comparisons */
-    StatusReads(Turn turn, StoreClient store, Budget requests, int txnOps) {
+    /** The state service takes four times as many comparisons as changes in one transaction. */
+    StatusReads(Turn turn, StoreClient store, Budget requests, Settings settings) {
         this.turn = turn;
         this.store = store;
         this.requests = requests;
-        this.mostGuards = 4 * txnOps;
+        this.mostGuards = 4 * settings.stateLimits().txnOps();
+        this.gatherMs = Math.min(LONGEST_GATHER_MS, Math.round(1000 * settings.nodes() / (POLLS_SHARE * settings.stateLimits().rps())));
     }
 
     /** The job's record was read or written as this version. */
@@ -80,6 +85,11 @@
         ask();
     }
 
+    /** Takes one request for a poll's sake, if enough is left for what must not wait for polls. */
+    boolean allowed() {
+        return requests.available(turn.now()) >= 1 + LEFT * requests.most() && requests.tryTake(turn.now(), 1);
+    }
+
     private void ask() {
         if (asking || waiting.isEmpty()) {
             return;
@@ -96,12 +106,11 @@
         }
         List<Poll> batch = waiting;
         waiting = new ArrayList<>();
-        boolean plenty = requests.available(turn.now()) > SHORT * requests.most();
-        if (!requests.tryTake(turn.now(), 1)) {
+        if (!allowed()) {
             batch.forEach(p -> p.then.accept(Result.REFUSED, null));
             return;
         }
-        nextAsk = plenty ? Tick.ZERO : turn.now().plusMs(GATHER_MS);
+        nextAsk = turn.now().plusMs(gatherMs);
         Map<JobRef, Known> asked = new LinkedHashMap<>();
         Txn txn = new Txn();
         List<Poll> polls = new ArrayList<>();
--- a/src/main/java/org/beechhoist/core/UserApi.java
+++ b/src/main/java/org/beechhoist/core/UserApi.java
@@ -63,7 +63,7 @@
     UserApi(Turn turn, Settings settings, Policy policy, StoreClient store, Budget requests, Budget writes, Types types,
             BiConsumer<JobRef, ObjectNode> promised, OnceKeys onceKeys) {
         this.onceKeys = onceKeys;
-        this.reads = new StatusReads(turn, store, requests, settings.stateLimits().txnOps());
+        this.reads = new StatusReads(turn, store, requests, settings);
         this.turn = turn;
         this.settings = settings;
         this.policy = policy;
@@ -333,7 +333,7 @@
                     promised.accept(ref, state);
                     turn.answer(request, 200, state);
                 }
-                case READ -> readStatus(request, ref, requests.tryTake(turn.now(), 1));
+                case READ -> readStatus(request, ref, reads.allowed());
                 default -> refuse(request, STORE);
             }
         });
