--- a/src/main/java/org/beechhoist/daemon/Node.java
+++ b/src/main/java/org/beechhoist/daemon/Node.java
@@ -2,6 +2,7 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import java.io.IOException;
+import java.net.BindException;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.util.HashMap;
@@ -30,6 +31,9 @@
     private static final String CBOR = "application/cbor";
     private static final String TEXT = "text/plain";
     private static final int MAX_PEER_BODY = PeerCodec.MAX_BYTES;
+    /** How long an address may still be held by the process before, and how often it is tried. */
+    private static final int MOST_TRIES = 100;
+    private static final long AGAIN_MS = 50;
     private static final byte[] EMPTY = new byte[0];
 
     private final Settings settings;
@@ -51,8 +55,32 @@
         this.peerClient = new HttpClient(loop, "avro/binary", 2 * settings.seeds().size());
         this.core = new Controller(settings, policy, metrics, System.nanoTime());
         // A tenth of the sockets is kept for calls to others.
-        new HttpServer(loop, settings.publicAddress(), Codec.MAX_BODY, settings.maxSockets() * 8 / 10, this::request);
-        new HttpServer(loop, settings.internalAddress(), MAX_PEER_BODY, 64, this::peerRequest);
+        listen(settings.publicAddress(), Codec.MAX_BODY, settings.maxSockets() * 8 / 10, this::request);
+        listen(settings.internalAddress(), MAX_PEER_BODY, 64, this::peerRequest);
+    }
+
+    /** A process that is started again at once may find its addresses still held by the one before, which is being ended. */
+    private void listen(InetSocketAddress address, int maxBody, int most, HttpServer.Handler handler) throws IOException {
+        for (int tries = 0;; tries++) {
+            try {
+                new HttpServer(loop, address, maxBody, most, handler);
+                return;
+            } catch (BindException e) {
+                if (tries == MOST_TRIES) {
+                    throw new IOException(address + " can't be listened on, tried for " + MOST_TRIES * AGAIN_MS / 1000 + " s", e);
+                }
+                pause();
+            }
+        }
+    }
+
+    private static void pause() throws IOException {
+        try {
+            Thread.sleep(AGAIN_MS);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            throw new IOException("interrupted while an address was in use", e);
+        }
     }
 
     /** Serves until {@link #stop} is called. */
--- a/src/main/java/org/beechhoist/net/HttpServer.java
+++ b/src/main/java/org/beechhoist/net/HttpServer.java
@@ -58,7 +58,12 @@
         this.crowded = maxConnections - Math.min(maxConnections / 2, Math.max(8, maxConnections / 8));
         ServerSocketChannel listener = ServerSocketChannel.open();
         listener.setOption(StandardSocketOptions.SO_REUSEADDR, true);
-        listener.bind(address, 1024);
+        try {
+            listener.bind(address, 1024);
+        } catch (IOException e) {
+            listener.close();
+            throw e;
+        }
         this.address = (InetSocketAddress) listener.getLocalAddress();
         acceptor = new Acceptor(listener);
         acceptor.key = loop.register(listener, SelectionKey.OP_ACCEPT, acceptor);
