--- a/src/main/java/org/beechhoist/regress/Regress.java
+++ b/src/main/java/org/beechhoist/regress/Regress.java
@@ -17,7 +17,7 @@
         description = "Play the deployments that a landing owes; ends with 1 if a rule broke or a figure fell, 2 for bad arguments,"
                 + " 3 without the bench.")
 final class Regress implements Callable<Integer> {
-    /** What storage, membership, timers and messages between machines are made of. A change elsewhere owes the grown sites alone. */
+    /** What storage, membership, timers and messages between machines are made of. A change elsewhere owes the operations sites alone. */
     private static final Pattern BETWEEN_MACHINES =
             Pattern.compile("src/main/(java/org/beechhoist/(store|peer|net|http|wire|core|daemon|config|plan)/|resources/).*|deploy/service\\.toml|pom\\.xml");
     private static final int FELL = 1;
@@ -105,8 +105,13 @@
     }
 
     private List<String> sites() throws IOException, InterruptedException {
-        List<String> out = files(kit.resolve("next"));
-        if (fleetToo(changed())) {
+        return sites(kit, fleetToo(changed()));
+    }
+
+    /** The operations sites, which took the place of the grown ones, and the fleet's where they are owed. */
+    static List<String> sites(Path kit, boolean fleet) throws IOException {
+        List<String> out = files(kit.resolve("more"));
+        if (fleet) {
             out.addAll(files(kit.resolve("more/fleet")));
         }
         return out;
--- a/src/test/java/org/beechhoist/regress/RegressTest.java
+++ b/src/test/java/org/beechhoist/regress/RegressTest.java
@@ -67,6 +67,16 @@
         assertEquals(2, new CommandLine(new Regress()).execute("--quick", "--full"));
     }
 
+    @Test
+    void theOperationsSitesArePlayedInTheGrownOnesPlace() throws IOException {
+        for (String f : new String[] {"next/old.toml", "more/night.toml", "more/LATER.md", "more/fleet/large.toml"}) {
+            Files.createDirectories(dir.resolve(f).getParent());
+            Files.writeString(dir.resolve(f), "");
+        }
+        assertEquals(List.of(dir.resolve("more/night.toml").toString()), Regress.sites(dir, false));
+        assertEquals(List.of(dir.resolve("more/night.toml").toString(), dir.resolve("more/fleet/large.toml").toString()), Regress.sites(dir, true));
+    }
+
     @Test
     void fleetSitesAreOwedWhereMachinesMeet() {
         assertTrue(Regress.fleetToo(null));
