--- a/deploy/product.lua
+++ b/deploy/product.lua
@@ -10,6 +10,9 @@
   fleet_notes = true,
   served_floor = true,
 
+  -- Under overload jobs are left behind so that as many others as possible are in time.
+  triage = true,
+
   -- Cron tables and calendars; once_key makes submissions the same work, for a week unless its class says otherwise.
   cron = true,
   once_keep_s = 7 * 24 * 3600,
--- a/src/main/java/org/beechhoist/standin/Cloud.java
+++ b/src/main/java/org/beechhoist/standin/Cloud.java
@@ -57,6 +57,10 @@
     private double spentBefore;
     private int next;
     public boolean out;
+    /** How much longer than usual, or shorter, machines boot that are rented now. */
+    public double bootTimes = 1;
+    /** Chance that they never come up, beyond the usual one. */
+    public double bootFails;
 
     /** @param upOrGone told of each machine that comes up (true) or is gone (false) */
     public Cloud(List<HostType> types, int perKind, double neverUp, SplittableRandom random,
@@ -182,8 +186,8 @@
         ObjectNode out = Codec.map();
         ArrayNode list = out.putArray("hosts");
         for (int i = 0; i < n; i++) {
-            boolean never = random.nextDouble() < neverUp;
-            long boot = Math.round(1000 * t.startupS() * (0.6 + 0.9 * random.nextDouble()));
+            boolean never = random.nextDouble() < neverUp + bootFails;
+            long boot = Math.round(1000 * bootTimes * t.startupS() * (0.6 + 0.9 * random.nextDouble()));
             Machine m = new Machine(String.format("m-%06d", next++), t, zone, spot, nowMs,
                     never ? Long.MAX_VALUE : nowMs + boot);
             machines.put(m.name, m);
--- a/src/test/java/org/beechhoist/sim/Extent.java
+++ b/src/test/java/org/beechhoist/sim/Extent.java
@@ -10,6 +10,8 @@
     /** Pairs of machine types, a small one and one four times as large. */
     int typePairs = 1;
     int moreTeams;
+    /** A team without a guarantee and without a limit, beside the others. */
+    boolean guest;
     double leaseS = 20;
     int valueKb = 8;
     int txnOps = 16;
@@ -73,6 +75,9 @@
                     cpus_max = 4000.0
                     """.formatted(i));
         }
+        if (guest) {
+            teams.append("[[deployment.teams]]\nname = \"guest\"\n");
+        }
         return """
                 host_name = "node-%d"
                 site = "%s"
--- a/src/test/java/org/beechhoist/sim/NightTest.java
+++ b/src/test/java/org/beechhoist/sim/NightTest.java
@@ -1,6 +1,7 @@
 package org.beechhoist.sim;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.List;
@@ -81,4 +82,23 @@
         w.runUntil(240_000);
         assertEquals(List.of(), w.unfinished());
     }
+
+    /** The checks of nights see what they are for: an answer older than the last, and a healthy machine that is condemned. */
+    @Test
+    void plantedDefectsAreSeen() {
+        World w = new World(14, new World.Scale(3, 6, 3000, 0, StateService.KEPT_CHANGES));
+        w.submit("slow", false, 3, 1, 5, n -> n.put("owner", "blue").put("loaner", true));
+        w.submit("broken", false, 3, 1, 5, n -> n.put("owner", "blue").put("loaner", true));
+        w.runUntil(60_000);
+        assertEquals("done", w.job(1).told);
+        assertEquals(0, w.toll.healthyCondemned);
+        String host = w.toll.lastFailed;
+        w.toll.failed(host, w.now);
+        w.giveBack(host);
+        assertEquals(1, w.toll.healthyCondemned);
+        w.oldAnswerFor = w.job(1).spec.ref().text();
+        w.pollOnce(w.job(1), a -> { });
+        AssertionError seen = assertThrows(AssertionError.class, () -> w.runUntil(70_000));
+        assertTrue(seen.getMessage().startsWith("went_back"), seen.getMessage());
+    }
 }
--- a/src/test/java/org/beechhoist/sim/Toll.java
+++ b/src/test/java/org/beechhoist/sim/Toll.java
@@ -1,6 +1,7 @@
 package org.beechhoist.sim;
 
 import java.util.EnumMap;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.Map;
 import java.util.Set;
@@ -19,6 +20,33 @@
     int returnedInUse;
     long returnedTasks;
 
+    /** A machine is returned this soon after a failure only because of it: idle ones stay longer. */
+    private static final long FOR_IT_MS = 3000;
+    private final Map<String, Long> failed = new HashMap<>();
+    private final Set<String> used = new HashSet<>();
+    /** Machines returned for failures though they are well, or because they are not; and those on which nothing was ever started. */
+    int healthyCondemned;
+    int faultyCondemned;
+    int neverUsed;
+
+    String lastFailed;
+
+    void failed(String host, long now) {
+        lastFailed = host;
+        failed.put(host, now);
+    }
+
+    void used(String host) {
+        used.add(host);
+    }
+
+    void returned(String host, boolean faulty, long now) {
+        boolean forIt = failed.containsKey(host) && now - failed.get(host) < FOR_IT_MS;
+        healthyCondemned += forIt && !faulty ? 1 : 0;
+        faultyCondemned += forIt && faulty ? 1 : 0;
+        neverUsed += used.contains(host) ? 0 : 1;
+    }
+
     void started(TaskId t) {
         redone += finished.contains(t) ? 1 : 0;
     }
--- a/src/test/java/org/beechhoist/sim/World.java
+++ b/src/test/java/org/beechhoist/sim/World.java
@@ -677,6 +677,9 @@
     /** The cloud is asked to end a machine: does it hold work that is wanted and goes on? */
     private void returned(String host) {
         Machine m = machines.get(host);
+        if (m != null && !m.gone && !m.cut()) {
+            toll.returned(host, faulty(host), now);
+        }
         if (m != null && !m.gone && !m.cut() && !zoneCut(m.worker.zone)) {
             toll.returned(m.worker.onMachine(now).stream().filter(t -> jobs.get(t.job().text()).cancelToldAt < 0).count());
         }
@@ -873,6 +876,7 @@
         lost.back(task, now);
         starts.merge(task, 1, Integer::sum);
         toll.started(task);
+        toll.used(on.name);
         UserJob j = jobs.get(task.job().text());
         JobSpec s = j.spec;
         for (Machine m : machines.values()) {
@@ -912,6 +916,9 @@
     @Override
     public void ended(Worker on, TaskId task, long attempt, long lostMs, Worker.End why) {
         toll.ended(task, why);
+        if (why == Worker.End.FAILED) {
+            toll.failed(on.name, now);
+        }
         Machine m = machines.get(on.name);
         if (m != null && why == Worker.End.STOPPED && lostMs > 0) {
             UserJob j = jobs.get(task.job().text());
@@ -1073,10 +1080,16 @@
         later(2000, () -> pollNow(j));
     }
 
+    /** Planted by tests of the checks: this job's user is told once more that it runs. */
+    String oldAnswerFor;
+
     /** One question more about a job; its answer is held against the rules, too. */
     void pollOnce(UserJob j, Consumer<Effect.Answer> then) {
         long asked = now;
         ask("GET", "/v1/jobs/" + j.spec.ref(), new byte[0], a -> {
+            if (a != null && a.status() == 200 && j.spec.ref().text().equals(oldAnswerFor)) {
+                ((ObjectNode) a.body()).put("status", "running");
+            }
             judge(j, a, asked);
             if (j.accepted && a != null && a.status() == 404) {
                 broken("forgotten", j.spec.ref() + " is answered 404");
@@ -1181,6 +1194,21 @@
         later(forMs, () -> nodes[node].refusedByState = false);
     }
 
+    /** Machines rented meanwhile boot so much longer or shorter, and fail to so often. */
+    void bootTrouble(double times, double fails, long forMs) {
+        cloud.bootTimes = times;
+        cloud.bootFails = fails;
+        later(forMs, () -> {
+            cloud.bootTimes = 1;
+            cloud.bootFails = 0;
+        });
+    }
+
+    /** The named machine is taken for a faulty one by somebody: it is returned. */
+    void giveBack(String host) {
+        returned(host);
+    }
+
     void cloudOutage(long forMs) {
         cloud.out = true;
         later(forMs, () -> cloud.out = false);
