--- /dev/null
+++ b/src/main/java/org/beechhoist/triage/Triage.java
@@ -0,0 +1,150 @@
+package org.beechhoist.triage;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.PriorityQueue;
+import java.util.Set;
+import java.util.TreeMap;
+import org.beechhoist.wire.JobRef;
+
+/**
+ * Under overload the order by deadlines begins every job as late as it may, and nearly all of them end just too late. Here as
+ * many as possible are kept that can be in time, by Moore and Hodgson's rule: take the jobs by when they are due, and where one
+ * would be late, leave the largest taken so far behind. Machines are taken for one that is as fast as all of them; a team's
+ * limit for another that its jobs have to get through as well.
+ */
+public final class Triage {
+    /** Rooms are not filled to the last CPU: tasks do not fit, images are fetched, machines stop. */
+    private static final double FILLED = 0.9;
+    /** A job is over with its longest task, which takes more than its owner's guess of the usual one. */
+    private static final double LONGEST = 1.25;
+
+    /** What of a group is kept: half of it, and some for jobs that end late all the same. */
+    private static final double HALF = 0.6;
+
+    private static final Comparator<Demand> LARGEST = Comparator.comparingDouble(Demand::cpuMs).reversed()
+            .thenComparing(Comparator.comparingLong(Demand::dueMs).reversed()).thenComparing(Demand::job);
+
+    /** One queue that jobs have to get through: all machines, or a team's limit. */
+    private static final class Line {
+        private final double cpus;
+        private double cpuMs;
+        /** Taken so far in this rank, by class and team, the largest first; some were left behind for another line's sake. */
+        private final Map<Set<String>, PriorityQueue<Demand>> taken = new HashMap<>();
+
+        Line(double cpus, double busyCpuMs) {
+            this.cpus = cpus;
+            this.cpuMs = busyCpuMs;
+        }
+
+        boolean inTime(Demand d, long nowMs) {
+            double through = cpuMs / (FILLED * cpus) + LONGEST * d.lengthMs() / 2;
+            return nowMs + Math.max(LONGEST * d.lengthMs(), through) <= d.dueMs();
+        }
+    }
+
+    private final Means means;
+    private final Line machines;
+    private final Map<String, Line> teams = new HashMap<>();
+    private final Set<JobRef> behind = new HashSet<>();
+
+    /** Jobs asked for and kept, of each group, what was served lately included. */
+    private final Map<String, int[]> kept = new HashMap<>();
+
+    private Triage(List<Demand> demands, Means means) {
+        this.means = means;
+        this.machines = new Line(means.cpus(), means.busyCpuMs());
+        means.lately().forEach((group, s) -> kept.put(group, new int[] {s.asked(), s.served()}));
+        for (Demand d : demands) {
+            d.groups().forEach(g -> {
+                int[] k = kept.computeIfAbsent(g, x -> new int[2]);
+                k[0]++;
+                k[1] += d.missed() ? 0 : 1;
+            });
+        }
+        means.teams().forEach((name, t) -> teams.put(name, new Line(t.cpus(), t.busyCpuMs())));
+    }
+
+    /** The jobs that are left behind, so that others are in time; empty where all can be, or no machine is there. */
+    public static Set<JobRef> behind(List<Demand> demands, Means means) {
+        if (means.cpus() <= 0) {
+            return Set.of();
+        }
+        Triage t = new Triage(demands, means);
+        Map<Integer, List<Demand>> byRank = new TreeMap<>();
+        demands.forEach(d -> byRank.computeIfAbsent(d.rank(), k -> new ArrayList<>()).add(d));
+        byRank.values().forEach(t::rank);
+        return t.behind;
+    }
+
+    /** Takes one rank's jobs; what is kept of it goes before the next rank's. */
+    private void rank(List<Demand> demands) {
+        demands.sort(Comparator.comparingLong(Demand::dueMs).thenComparing(Demand::job));
+        machines.taken.clear();
+        teams.values().forEach(l -> l.taken.clear());
+        for (Demand d : demands) {
+            Line team = teams.get(d.team());
+            if (d.dueMs() == Demand.NO_DUE) {
+                continue; // it waits for all that can be late, and delays none of them
+            }
+            take(d, machines);
+            if (team != null) {
+                take(d, team);
+                if (!team.inTime(d, means.nowMs())) {
+                    leaveLargest(team);
+                }
+            }
+            if (!behind.contains(d.job()) && !machines.inTime(d, means.nowMs())) {
+                leaveLargest(machines);
+            }
+        }
+    }
+
+    private static void take(Demand d, Line line) {
+        line.cpuMs += d.cpuMs();
+        if (!d.keep()) {
+            line.taken.computeIfAbsent(d.groups(), k -> new PriorityQueue<>(LARGEST)).add(d);
+        }
+    }
+
+    private void leaveLargest(Line line) {
+        PriorityQueue<Demand> from = null;
+        double best = -1;
+        for (Map.Entry<Set<String>, PriorityQueue<Demand>> e : line.taken.entrySet()) {
+            PriorityQueue<Demand> q = e.getValue();
+            while (!q.isEmpty() && behind.contains(q.peek().job())) {
+                q.poll();
+            }
+            double rest = q.isEmpty() ? -1 : leftToIts(e.getKey());
+            if (rest > best || rest == best && from != null && LARGEST.compare(q.peek(), from.peek()) < 0) {
+                best = rest;
+                from = q;
+            }
+        }
+        if (from == null) {
+            return;
+        }
+        Demand largest = from.poll();
+        behind.add(largest.job());
+        largest.groups().forEach(g -> kept.get(g)[1]--);
+        machines.cpuMs -= largest.cpuMs();
+        Line team = teams.get(largest.team());
+        if (team != null) {
+            team.cpuMs -= largest.cpuMs();
+        }
+    }
+
+    /** How much of their halves the class and the team still have without one more job; above the half does not count. */
+    private double leftToIts(Set<String> groups) {
+        double sum = 0;
+        for (String g : groups) {
+            int[] k = kept.get(g);
+            sum += Math.min(HALF, (k[1] - 1.0) / k[0]);
+        }
+        return Math.max(0, sum);
+    }
+}
