--- a/src/main/java/org/beechhoist/config/Policy.java
+++ b/src/main/java/org/beechhoist/config/Policy.java
@@ -40,7 +40,7 @@
     }
 
     public static final Policy DEFAULT = new Policy(300, 500, 10_000, Evaluation.Weights.DEFAULT, 0.3, 30, 20_000,
-            4_000, 12_000, Elastic.OFF, Cron.OFF, true, false, true);
+            4_000, 12_000, Elastic.OFF, Cron.OFF, true, true, true);
 
     public Policy with(Elastic other) {
         return new Policy(searchIterations, searchMs, searchEveryMs, weights, patience, preemptCpuS, idleSpotMs,
