Teams take turns at submitting where changes run short; urgent launches go before less urgent ends

Nodes took submissions first come, first served, and all ends were written before any launch. Excluded: the processor (0.16 of a core), sockets. Change: TeamTurns leaves the second half of a node's budget to teams that had less than their even part; commits go by urgency.

--- a/src/main/java/org/beechhoist/core/Committer.java
+++ b/src/main/java/org/beechhoist/core/Committer.java
@@ -233,12 +233,15 @@
         return j.record.live.isEmpty() && (j.record.cancelled() || j.record.complete());
     }
 
-    /** Jobs that have ended come first, for their users wait; then launches, the more urgent before; then ended tasks. */
+    /**
+     * More urgent jobs first; of one urgency those that have ended, for their users wait, then launches. Ended tasks come last. With
+     * all ends first, thousands of tiny jobs' ends kept urgent launches waiting for seconds.
+     */
     private static int commitRank(Job j) {
         if (ends(j)) {
-            return 0;
+            return 2 * j.spec().urgency().ordinal();
         }
-        return j.uncommitted > 0 || j.width() < j.committedWidth ? 1 + j.spec().urgency().ordinal() : GATHERED;
+        return j.uncommitted > 0 || j.width() < j.committedWidth ? 1 + 2 * j.spec().urgency().ordinal() : GATHERED;
     }
 
     /** Jobs that wait to be written, for whoever shares out the state service's limits. */
--- a/src/main/java/org/beechhoist/core/UserApi.java
+++ b/src/main/java/org/beechhoist/core/UserApi.java
@@ -57,6 +57,7 @@
     private final Map<JobRef, JsonNode> ended = Recent.used(CACHED_ENDED);
     private final OnceKeys onceKeys;
     private final StatusReads reads;
+    private final TeamTurns turns = new TeamTurns();
     private final List<Submission> queue = new ArrayList<>();
     private int commits;
 
@@ -133,6 +134,12 @@
             refuse(request, FULL);
             return;
         }
+        if (!turns.may(spec.team(), writes.available(turn.now()) - queue.size(), writes.most(), turn.now())) {
+            writes.missed(1);
+            refuse(request, BUSY);
+            return;
+        }
+        turns.given(spec.team(), turn.now());
         queue.add(new Submission(request, spec, Revision.ABSENT));
         flush();
     }
