Under short changes a job ends with one change: its final state stands where its record did, and is moved later

Change: while less than half of the budget is left, the final state is put under the open key (guarded as before), and moved in one transaction once changes are to spare. Of a job one key exists at any moment, so 404 is as it was; versions differ, so a poll's comparison sees it; submissions are guarded against both keys. Nodes of the version before have another peer schema, and nothing of it is written until all others have been heard.

--- a/src/main/java/org/beechhoist/core/Batch.java
+++ b/src/main/java/org/beechhoist/core/Batch.java
@@ -20,14 +20,20 @@
 final class Batch {
     /** How a job's news are written. */
     enum Way {
-        /** Its final state, in place of its record. */
+        /** Its final state, under a key of its own; its record goes. */
         END,
+        /** Its final state where its record stood: one change instead of two, moved later. */
+        END_HERE,
         /** Its record, whole. */
         RECORD,
         /** What changed of its tasks, beside other jobs' news. */
         LOG,
         /** All that its record lacks, so that the segments that said so before are free. */
-        GATHER
+        GATHER;
+
+        boolean ends() {
+            return this == END || this == END_HERE;
+        }
     }
 
     /** A job's part, as it was when it was sent. */
@@ -139,7 +145,9 @@
             }
         }
         String key = JobRecord.openKey(j.ref());
-        if (ends) {
+        if (p.way == Way.END_HERE) {
+            txn.put(key, j.record.endedNode(j.finalState()));
+        } else if (ends) {
             txn.delete(key).put(JobRecord.endedKey(j.ref()), j.record.endedNode(j.finalState()));
         } else {
             j.record.folded = log.lastNumber();
@@ -177,7 +185,7 @@
     List<Placement> placed() {
         List<Placement> out = new ArrayList<>();
         for (Part p : parts) {
-            if (p.way != Way.END) {
+            if (!p.way.ends()) {
                 p.job.record.live.values().stream().filter(l -> !l.committed).forEach(out::add);
             }
         }
--- a/src/main/java/org/beechhoist/core/Committer.java
+++ b/src/main/java/org/beechhoist/core/Committer.java
@@ -7,6 +7,7 @@
 import java.util.function.BooleanSupplier;
 import org.beechhoist.config.Settings;
 import org.beechhoist.store.Budget;
+import org.beechhoist.store.JobRecord;
 import org.beechhoist.store.Placement;
 import org.beechhoist.store.Sizes;
 import org.beechhoist.store.StoreClient;
@@ -35,6 +36,9 @@
     private static final double PLENTY = 0.8;
     /** Segments of the log that a full second's writes are thought to be at most; the rest is for records and ends. */
     private static final double LOG_SHARE = 4;
+    /** With less of a full budget, a job ends with one change instead of two. */
+    private static final double TIGHT = 0.5;
+    private static final int MOST_MOVED = 6;
     private static final long LONGEST_PACE_MS = 400;
     private static final long FOLD_EVERY_MS = 1000;
     /** A job that is younger will have ended before long, and is never written for the log's sake. */
@@ -70,6 +74,8 @@
     private Tick nextFold = Tick.ZERO;
     private boolean commitInFlight;
     private boolean rotateWanted;
+    /** Whether changes run short: what can be done later is. */
+    private boolean tight;
     private Tick nextRotation = Tick.ZERO;
     private Tick nextCommit = Tick.ZERO;
 
@@ -108,13 +114,14 @@
         // Each new baton makes every worker report once more, so that many lost orders share one.
         boolean rotating = rotateWanted && !turn.now().before(nextRotation);
         boolean foldDue = log.segments() > 0 && !turn.now().before(nextFold);
-        if (book.dirty().isEmpty() && !rotating && !foldDue) {
+        if (book.dirty().isEmpty() && !rotating && !foldDue && loading.over().isEmpty()) {
             return;
         }
         double budget = writes.available(turn.now()) - Math.min(USERS_WRITES, USERS_SHARE * writes.most());
         if (budget < 1) {
             return;
         }
+        tight = budget < TIGHT * writes.most();
         Txn txn = election.guarded();
         if (rotating) {
             election.rotateIn(txn);
@@ -125,6 +132,7 @@
             fold(batch, budget > PLENTY * writes.most());
         }
         if (batch.isEmpty()) {
+            move(budget);
             return;
         }
         if (rotating) {
@@ -157,6 +165,51 @@
         });
     }
 
+    /**
+     * Final states that stand where open records do go to their own keys, so that the next leader need not read them. Of a job
+     * there is one key at any moment: both changes are one transaction, guarded by the version of the one that goes.
+     */
+    private void move(double budget) {
+        int most = Math.min(MOST_MOVED, Math.min(settings.stateLimits().txnOps(), (int) budget) / 2);
+        if (loading.over().isEmpty() || most < 1 || budget < PLENTY * writes.most()) {
+            return;
+        }
+        Txn txn = election.guarded();
+        List<StoreClient.Item> moved = loading.over().stream().limit(most).toList();
+        for (StoreClient.Item i : moved) {
+            JobRef ref = new JobRef(i.key().substring(JobRecord.OPEN.length()));
+            txn.guard(i.key(), i.version()).delete(i.key()).put(JobRecord.endedKey(ref), i.value());
+        }
+        commitInFlight = true;
+        requests.take(turn.now(), 1);
+        writes.take(turn.now(), txn.ops());
+        long e = loading.epoch();
+        long r = book.reign();
+        store.commit(txn, c -> {
+            if (r != book.reign()) {
+                return;
+            }
+            commitInFlight = false;
+            if (e != loading.epoch()) {
+                settle();
+                return;
+            }
+            switch (c.result()) {
+                case DONE -> loading.over().removeAll(moved);
+                case CONFLICT -> {
+                    if (c.failed().contains(Election.KEY)) {
+                        election.lose("the key was rewritten");
+                    } else {
+                        loading.reload();
+                    }
+                }
+                case NO_LEASE -> election.lose("the lease ended");
+                case UNCERTAIN -> settle();
+                case REFUSED -> nextCommit = turn.now().plusMs(200);
+            }
+        });
+    }
+
     private record Due(Job job, int rank) {
     }
 
@@ -198,7 +251,7 @@
     }
 
     private Batch.Way way(Job j) {
-        return ends(j) ? Batch.Way.END
+        return ends(j) ? tight && logAllowed.getAsBoolean() ? Batch.Way.END_HERE : Batch.Way.END
                 : !logAllowed.getAsBoolean() || j.width() != j.committedWidth || j.record.failures != j.storedFailures
                 ? Batch.Way.RECORD : Batch.Way.LOG;
     }
@@ -268,12 +321,16 @@
                 for (Batch.Part p : batch.parts()) {
                     if (p.way == Batch.Way.RECORD) {
                         p.job.version = c.revision();
-                    } else if (p.way == Batch.Way.END) {
+                    } else if (p.way.ends()) {
+                        JsonNode state = p.job.record.endedNode(p.job.finalState());
+                        if (p.way == Batch.Way.END_HERE) {
+                            loading.standsOver(new StoreClient.Item(JobRecord.openKey(p.job.ref()), state, c.revision(), 0));
+                        }
                         book.ended(p.job);
-                        listener.ended(p.job, p.job.record.endedNode(p.job.finalState()));
+                        listener.ended(p.job, state);
                         LOG.info("{} ended: {}", p.job.ref(), p.job.finalState());
                     }
-                    if (p.way != Batch.Way.END && ends(p.job)) {
+                    if (!p.way.ends() && ends(p.job)) {
                         book.touch(p.job); // gathered for the log's sake; written off as clean, it once never ended
                     }
                 }
--- a/src/main/java/org/beechhoist/core/Loading.java
+++ b/src/main/java/org/beechhoist/core/Loading.java
@@ -2,9 +2,11 @@
 
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -57,6 +59,7 @@
     private final TaskLog log;
     private final Sizes sizes;
     private final Listener listener;
+    private final Set<StoreClient.Item> over = new LinkedHashSet<>();
     private Phase phase = Phase.IDLE;
     /** Changes whenever the book is read anew, and with leadership. */
     private long epoch;
@@ -74,6 +77,15 @@
         this.listener = listener;
     }
 
+    /** Final states that stand where open records do, to be moved to their own keys. */
+    Collection<StoreClient.Item> over() {
+        return over;
+    }
+
+    void standsOver(StoreClient.Item i) {
+        over.add(i);
+    }
+
     long epoch() {
         return epoch;
     }
@@ -150,6 +162,7 @@
             h.placements.clear();
         }
         Map<JobRef, Job> old = book.dropJobs();
+        over.clear();
         for (StoreClient.Item i : items) {
             try {
                 takeRecord(i, old);
@@ -261,6 +274,10 @@
             }
             return;
         }
+        if (JobRecord.isOver(i.value())) {
+            over.add(i);
+            return;
+        }
         JobRecord r = record(i);
         Job j = new Job(r, i.version(), turn.now().plusMs(Math.min(0, r.submittedWallMs - turn.wallMs())));
         Job known = old.get(j.ref());
@@ -316,7 +333,7 @@
     }
 
     private void changed(StoreClient.Item i) {
-        if (i.value() == null || i.key().indexOf('/', JobRecord.OPEN.length()) >= 0) {
+        if (i.value() == null || JobRecord.isOver(i.value()) || i.key().indexOf('/', JobRecord.OPEN.length()) >= 0) {
             return;
         }
         JobRef ref = new JobRef(i.key().substring(JobRecord.OPEN.length()));
--- a/src/main/java/org/beechhoist/core/UserApi.java
+++ b/src/main/java/org/beechhoist/core/UserApi.java
@@ -274,6 +274,9 @@
         store.get(JobRecord.openKey(ref), open -> {
             if (!open.known()) {
                 then.accept(null);
+            } else if (open.item() != null && JobRecord.isOver(open.item().value())) {
+                ended.put(ref, open.item().value());
+                then.accept(new Found(endedState(ref, open.item().value()), null));
             } else if (open.item() != null) {
                 then.accept(new Found(openState(ref, open.item().value()), open.item()));
             } else {
--- a/src/main/java/org/beechhoist/peer/PeerCodec.java
+++ b/src/main/java/org/beechhoist/peer/PeerCodec.java
@@ -27,6 +27,8 @@
  */
 public final class PeerCodec {
     private static final int FINGERPRINT = 8;
+    /** Told so that nodes of other forms are of another schema: a leader writes no form that some node does not read. */
+    private static final int RECORD_FORM = 2;
     /** A leader tells of some hundred jobs at once. */
     public static final int MAX_BYTES = 64 * 1024;
 
@@ -54,6 +56,7 @@
         r.put("ready", s.ready());
         r.put("reportsHeard", s.reportsHeard());
         r.put("writesWanted", s.writesWanted());
+        r.put("recordForm", RECORD_FORM);
         Schema count = schema.getField("counts").schema().getElementType();
         List<GenericRecord> counts = new ArrayList<>();
         for (JobCount c : s.counts()) {
--- a/src/main/java/org/beechhoist/store/JobRecord.java
+++ b/src/main/java/org/beechhoist/store/JobRecord.java
@@ -118,6 +118,11 @@
         return spec.origin() == null ? n : n.put("origin", spec.origin());
     }
 
+    /** Whether a value at an open key is a final state that has not been moved to its own key yet. */
+    public static boolean isOver(JsonNode n) {
+        return n != null && n.hasNonNull("status") && !n.has("spec");
+    }
+
     public static JobRecord parse(JsonNode n) throws Malformed {
         if (n == null || !n.isObject() || n.get("spec") == null) {
             throw new Malformed("not a job record");
--- a/src/test/java/org/beechhoist/sim/NightTest.java
+++ b/src/test/java/org/beechhoist/sim/NightTest.java
@@ -101,4 +101,39 @@
         AssertionError seen = assertThrows(AssertionError.class, () -> w.runUntil(70_000));
         assertTrue(seen.getMessage().startsWith("went_back"), seen.getMessage());
     }
+
+    /**
+     * A guest's swarm of single-task jobs, about as many a second as the state service allows changes for. Submissions of others were
+     * refused seven times of ten, and their ends and launches waited behind the swarm's.
+     */
+    @Test
+    void aSwarmOfTinyJobsRefusesNobodyElse() {
+        Extent x = Extent.strict();
+        x.guest = true;
+        x.writeRps = 35;
+        World w = new World(15, new World.Scale(5, 20, 3000, 500, StateService.KEPT_CHANGES).with(x));
+        w.every(1500, () -> {
+            if (w.now < 160_000) {
+                w.submit("fast", false, 6, 1, 10, n -> n.put("owner", "blue").put("urgency", "urgent").put("loaner", true));
+            }
+        });
+        w.every(80, () -> {
+            if (w.now > 40_000 && w.now < 120_000) {
+                w.submit("single", false, 1, 0.25, 5, n -> n.put("owner", "guest").put("urgency", "low").put("loaner", true));
+            }
+        });
+        int[] standing = new int[1];
+        w.every(5000, () -> standing[0] = Math.max(standing[0], w.over("jo/")));
+        w.later(90_000, () -> w.crash(w.leader(), 300));
+        w.runUntil(160_000);
+        List<World.UserJob> others = w.allJobs().stream().filter(j -> j.spec.team().equals("blue") && j.submittedAt > 40_000 && j.submittedAt < 120_000).toList();
+        long prompt = others.stream().filter(j -> j.acceptedAt >= 0 && j.acceptedAt - j.submittedAt <= 1000).count();
+        long begun = others.stream().filter(j -> j.startedAt >= 0 && j.startedAt - j.submittedAt <= 6000).count();
+        assertTrue(prompt >= 0.95 * others.size(), prompt + " of " + others.size() + " were accepted within a second");
+        assertTrue(begun >= 0.9 * others.size(), begun + " of " + others.size() + " began within 6 s");
+        assertTrue(standing[0] > 20, standing[0] + " final states stood where open records do");
+        w.runUntil(600_000);
+        assertEquals(List.of(), w.unfinished());
+        assertEquals(0, w.keys("jo/").size(), "all final states are moved once there is time for it");
+    }
 }
--- a/src/test/java/org/beechhoist/sim/World.java
+++ b/src/test/java/org/beechhoist/sim/World.java
@@ -27,6 +27,7 @@
 import org.beechhoist.standin.StateService;
 import org.beechhoist.standin.Worker;
 import org.beechhoist.store.Budget;
+import org.beechhoist.store.JobRecord;
 import org.beechhoist.wire.Calls;
 import org.beechhoist.wire.Codec;
 import org.beechhoist.wire.HostType;
@@ -353,6 +354,7 @@
         int soon;
         int losses;
         final long submittedAt;
+        long acceptedAt = -1;
         private boolean asked;
         private long cancelToldAt = -1;
         String told;
@@ -1062,6 +1064,7 @@
             } else if (a != null && (a.status() == 201 || a.status() == 200)) {
                 if (!j.accepted) {
                     j.accepted = true;
+                    j.acceptedAt = now;
                     poll(j);
                 }
                 judge(j, a, asked);
@@ -1324,6 +1327,14 @@
         return out;
     }
 
+    /** Final states under a prefix that is for open records, of the first thousand. */
+    int over(String prefix) {
+        int[] n = new int[1];
+        state.handle(now, "GET", "/store?prefix=" + prefix + "&limit=1000", null,
+                r -> r.body().path("items").forEach(i -> n[0] += JobRecord.isOver(i.path("data")) ? 1 : 0));
+        return n[0];
+    }
+
     /** Machines with tasks on them. */
     int machinesInUse() {
         return (int) machines.values().stream().filter(m -> !m.gone && !m.worker.onMachine(now).isEmpty()).count();
