--- a/src/main/java/org/beechhoist/core/Controller.java
+++ b/src/main/java/org/beechhoist/core/Controller.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Set;
 import java.util.SplittableRandom;
+import java.util.function.ToDoubleFunction;
 import org.beechhoist.config.Policy;
 import org.beechhoist.config.Settings;
 import org.beechhoist.metrics.Metrics;
@@ -25,13 +26,6 @@
  */
 public final class Controller {
     private static final long TICK_MS = 500;
-    /** The leader's share of the state service's requests. */
-    private static final double LEADER_SHARE = 0.55;
-    /**
-     * Users are spread unevenly and seldom busy on all nodes at once, so each node other than the leader may use this
-     * much of an even share of the requests; the state service refuses what is too much, and that is told to the user.
-     */
-    private static final double LENT = 2.5;
     /** How much of what a node wanted a second ago it is thought to want still. */
     private static final double WANTED_BEFORE = 0.7;
     /** Submissions come in bursts: what a node may write at once after a quiet while. */
@@ -57,6 +51,7 @@
     private final Progress progress = new Progress();
     private final Hearing hearing;
     private double writesWanted;
+    private double requestsWanted;
     private boolean sharesAsLeader;
     /** Null where it is off. */
     private final CronApi cron;
@@ -118,21 +113,25 @@
 
     private void share(boolean leads) {
         sharesAsLeader = leads;
-        int others = settings.nodes() - 1;
-        double requestShare = others < 1 ? 1 : leads ? LEADER_SHARE : Math.min(LEADER_SHARE, LENT * (1 - LEADER_SHARE) / others);
-        requests.setRate(SAFETY * requestShare * settings.stateLimits().rps(), 1);
-        List<Shares.Want> wants = new ArrayList<>(List.of(new Shares.Want(leads, writesWanted)));
-        wants.addAll(peers.wants(turn.now()));
-        writes.setRate(Shares.of(SAFETY * settings.stateLimits().writeRps(), wants), LEAST_BURST);
+        writes.setRate(part(settings.stateLimits().writeRps(), writesWanted, PeerState::writesWanted), LEAST_BURST);
+        requests.setRate(part(settings.stateLimits().rps(), requestsWanted, PeerState::requestsWanted), 1);
+    }
+
+    private double part(double limit, double wanted, ToDoubleFunction<PeerState> others) {
+        List<Shares.Want> wants = new ArrayList<>(List.of(new Shares.Want(sharesAsLeader, wanted)));
+        wants.addAll(peers.wants(turn.now(), others));
+        return Shares.of(SAFETY * limit, wants);
     }
 
     /** Once a second: tells the others, and takes up what they told. */
     private void tell() {
         writesWanted = Math.max(WANTED_BEFORE * writesWanted, writes.takeWanted() + leader.backlog());
+        requestsWanted = Math.max(WANTED_BEFORE * requestsWanted, requests.takeWanted());
         share(election.valid());
         if (!settings.seeds().isEmpty()) {
             turn.tell(new PeerState(settings.node(), election.valid(), election.baton(), turn.now().since(storeServed),
-                    types.known() && seenStore, hearing.lately(turn.now()), writesWanted, leader.active() ? progress.toTell(leader.book()) : List.of()));
+                    types.known() && seenStore, hearing.lately(turn.now()), writesWanted, requestsWanted,
+                    leader.active() ? progress.toTell(leader.book()) : List.of()));
         }
     }
 
--- a/src/main/java/org/beechhoist/core/Peers.java
+++ b/src/main/java/org/beechhoist/core/Peers.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.ToDoubleFunction;
 import org.beechhoist.peer.PeerState;
 import org.beechhoist.wire.Tick;
 
@@ -41,13 +42,13 @@
         return heard.size() == seeds.size();
     }
 
-    /** What each of the others wants of the state service's changes; not known where nothing was heard lately. */
-    List<Shares.Want> wants(Tick now) {
+    /** What each of the others wants of the state service's changes, or of all requests; not known where nothing was heard lately. */
+    List<Shares.Want> wants(Tick now, ToDoubleFunction<PeerState> of) {
         List<Shares.Want> out = new ArrayList<>();
         for (String node : seeds) {
             Heard h = heard.get(node);
             boolean fresh = h != null && fresh(h, now);
-            out.add(new Shares.Want(fresh && h.state.leading(), fresh ? h.state.writesWanted() : -1));
+            out.add(new Shares.Want(fresh && h.state.leading(), fresh ? of.applyAsDouble(h.state) : -1));
         }
         return out;
     }
--- a/src/main/java/org/beechhoist/core/Shares.java
+++ b/src/main/java/org/beechhoist/core/Shares.java
@@ -4,7 +4,7 @@
 import java.util.List;
 
 /**
- * How the nodes share the state service's changes. Each is sure of a part; what one does not want goes to those that
+ * How the nodes share the state service's changes, and its requests alike. Each is sure of a part; what one does not want goes to those that
  * want more than their part, in proportion to the parts. All nodes work that out from what they told one another, so
  * they agree as far as that is fresh; a node that nothing is heard of is taken to want its part.
  */
--- a/src/main/java/org/beechhoist/peer/PeerCodec.java
+++ b/src/main/java/org/beechhoist/peer/PeerCodec.java
@@ -56,6 +56,7 @@
         r.put("ready", s.ready());
         r.put("reportsHeard", s.reportsHeard());
         r.put("writesWanted", s.writesWanted());
+        r.put("requestsWanted", s.requestsWanted());
         r.put("recordForm", RECORD_FORM);
         Schema count = schema.getField("counts").schema().getElementType();
         List<GenericRecord> counts = new ArrayList<>();
@@ -94,7 +95,8 @@
             }
             return new PeerState(r.get("node").toString(), (Boolean) r.get("leading"),
                     new Baton((Long) r.get("baton")), (Long) r.get("storeAnswersMs"), (Boolean) r.get("ready"),
-                    (Integer) r.get("reportsHeard"), (Double) r.get("writesWanted"), counts);
+                    (Integer) r.get("reportsHeard"), (Double) r.get("writesWanted"),
+                    (Double) r.get("requestsWanted"), counts);
         } catch (IOException | RuntimeException e) {
             throw new Malformed("not a record");
         }
--- a/src/main/java/org/beechhoist/peer/PeerState.java
+++ b/src/main/java/org/beechhoist/peer/PeerState.java
@@ -9,8 +9,9 @@
  * @param storeAnswersMs since the state service last served it
  * @param reportsHeard from workers, in the time in which each of them sends one, whether answered or turned away
  * @param writesWanted changes a second that it would make if it might
+ * @param requestsWanted requests to it a second, likewise
  * @param counts of open jobs, from a leader
  */
 public record PeerState(String node, boolean leading, Baton baton, long storeAnswersMs, boolean ready, int reportsHeard, double writesWanted,
-        List<JobCount> counts) {
+        double requestsWanted,         List<JobCount> counts) {
 }
--- a/src/test/java/org/beechhoist/wire/CodecTest.java
+++ b/src/test/java/org/beechhoist/wire/CodecTest.java
@@ -80,7 +80,7 @@
     @Test
     void peersUnderstandOneAnotherAndRefuseRubbish() throws Malformed {
         PeerCodec codec = new PeerCodec();
-        PeerState s = new PeerState("node-1", true, new Baton(412), 17, true, 200, 4.5,
+        PeerState s = new PeerState("node-1", true, new Baton(412), 17, true, 200, 4.5, 60,
                 List.of(new JobCount(new JobRef("job-000001"), 3, 13), new JobCount(new JobRef("job-2"), 0, 0)));
         byte[] good = codec.encode(s);
         assertEquals(s, codec.decode(good));
