Final states stand where records did only in a swarm, and are moved in quiet moments

Change: five ends at once are needed, and a move needs a nearly full budget and a second since the last.

--- a/src/main/java/org/beechhoist/core/Committer.java
+++ b/src/main/java/org/beechhoist/core/Committer.java
@@ -36,9 +36,13 @@
     private static final double PLENTY = 0.8;
     /** Segments of the log that a full second's writes are thought to be at most; the rest is for records and ends. */
     private static final double LOG_SHARE = 4;
-    /** With less of a full budget, a job ends with one change instead of two. */
+    /** With less of a full budget, and so many jobs that have ended at once, a job ends with one change instead of two. */
     private static final double TIGHT = 0.5;
+    private static final int MANY_ENDS = 5;
     private static final int MOST_MOVED = 6;
+    /** They are moved only while hardly anything else is written, and seldom: commits wait for one another. */
+    private static final double QUIET = 0.95;
+    private static final long MOVE_EVERY_MS = 1000;
     private static final long LONGEST_PACE_MS = 400;
     private static final long FOLD_EVERY_MS = 1000;
     /** A job that is younger will have ended before long, and is never written for the log's sake. */
@@ -78,6 +82,7 @@
     private boolean tight;
     private Tick nextRotation = Tick.ZERO;
     private Tick nextCommit = Tick.ZERO;
+    private Tick nextMove = Tick.ZERO;
 
     /** @param logAllowed whether every node that may lead reads the log */
     Committer(Turn turn, Settings settings, StoreClient store, Election election, Budget requests, Budget writes,
@@ -114,14 +119,14 @@
         // Each new baton makes every worker report once more, so that many lost orders share one.
         boolean rotating = rotateWanted && !turn.now().before(nextRotation);
         boolean foldDue = log.segments() > 0 && !turn.now().before(nextFold);
-        if (book.dirty().isEmpty() && !rotating && !foldDue && loading.over().isEmpty()) {
+        if (book.dirty().isEmpty() && !rotating && !foldDue && !moveDue()) {
             return;
         }
         double budget = writes.available(turn.now()) - Math.min(USERS_WRITES, USERS_SHARE * writes.most());
         if (budget < 1) {
             return;
         }
-        tight = budget < TIGHT * writes.most();
+        tight = budget < TIGHT * writes.most() && book.dirty().stream().filter(Committer::ends).limit(MANY_ENDS).count() == MANY_ENDS;
         Txn txn = election.guarded();
         if (rotating) {
             election.rotateIn(txn);
@@ -165,15 +170,20 @@
         });
     }
 
+    private boolean moveDue() {
+        return !loading.over().isEmpty() && !turn.now().before(nextMove);
+    }
+
     /**
      * Final states that stand where open records do go to their own keys, so that the next leader need not read them. Of a job
      * there is one key at any moment: both changes are one transaction, guarded by the version of the one that goes.
      */
     private void move(double budget) {
         int most = Math.min(MOST_MOVED, Math.min(settings.stateLimits().txnOps(), (int) budget) / 2);
-        if (loading.over().isEmpty() || most < 1 || budget < PLENTY * writes.most()) {
+        if (most < 1 || !moveDue() || budget < QUIET * writes.most() - Math.min(USERS_WRITES, USERS_SHARE * writes.most())) {
             return;
         }
+        nextMove = turn.now().plusMs(MOVE_EVERY_MS);
         Txn txn = election.guarded();
         List<StoreClient.Item> moved = loading.over().stream().limit(most).toList();
         for (StoreClient.Item i : moved) {
