--- a/src/main/java/org/beechhoist/core/Committer.java
+++ b/src/main/java/org/beechhoist/core/Committer.java
@@ -5,6 +5,7 @@
 import java.util.Comparator;
 import java.util.List;
 import java.util.function.BooleanSupplier;
+import java.util.function.Consumer;
 import org.beechhoist.config.Settings;
 import org.beechhoist.store.Budget;
 import org.beechhoist.store.JobRecord;
@@ -150,6 +151,11 @@
             // What comes next shares a segment with what comes a moment later.
             nextCommit = turn.now().plusMs(Math.min(LONGEST_PACE_MS, Math.round(1000 * LOG_SHARE / writes.rate())));
         }
+        send(txn, c -> committed(c, rotating, batch, placed));
+    }
+
+    /** Sends the one transaction that is on its way at a time; its outcome is handed over if it is still the book's matter. */
+    private void send(Txn txn, Consumer<Commit> then) {
         commitInFlight = true;
         requests.take(turn.now(), 1);
         writes.take(turn.now(), txn.ops());
@@ -161,7 +167,7 @@
             }
             commitInFlight = false;
             if (e == loading.epoch()) {
-                committed(c, rotating, batch, placed);
+                then.accept(c);
             } else {
                 // The book was read anew meanwhile, perhaps without this commit: make sure of its fate. Left alone,
                 // it would be taken for one that never ends, and nothing would be written any more.
@@ -190,20 +196,7 @@
             JobRef ref = new JobRef(i.key().substring(JobRecord.OPEN.length()));
             txn.guard(i.key(), i.version()).delete(i.key()).put(JobRecord.endedKey(ref), i.value());
         }
-        commitInFlight = true;
-        requests.take(turn.now(), 1);
-        writes.take(turn.now(), txn.ops());
-        long e = loading.epoch();
-        long r = book.reign();
-        store.commit(txn, c -> {
-            if (r != book.reign()) {
-                return;
-            }
-            commitInFlight = false;
-            if (e != loading.epoch()) {
-                settle();
-                return;
-            }
+        send(txn, c -> {
             switch (c.result()) {
                 case DONE -> loading.over().removeAll(moved);
                 case CONFLICT -> {
