A leader's users may take no more of its changes than those of any other node while they run short

Excluded: the shares (5 a second for the others), machines. Change: below three quarters of the leader's budget its users are held to an even part.

--- a/src/main/java/org/beechhoist/core/Controller.java
+++ b/src/main/java/org/beechhoist/core/Controller.java
@@ -31,6 +31,8 @@
     /** Submissions come in bursts: what a node may write at once after a quiet while. */
     private static final double LEAST_BURST = 8;
     private static final double SAFETY = 0.9;
+    /** With less of a full budget a leader's own users may take no more of it than those of any other node. */
+    private static final double SPARE = 0.75;
     private static final Set<String> VIEWS = Set.of("/v1/plan", "/v1/hosts", "/v1/teams", "/v1/falls", "/v1/start", "/v1/served", "/v1/metrics");
     private static final String CRON = "/v1/cron";
     private static final String CALENDARS = "/v1/calendars";
@@ -77,7 +79,7 @@
         OnceKeys onceKeys = new OnceKeys(policy.cron());
         this.hearing = new Hearing(Math.round(1000 * settings.workers().reportS()));
         this.peers = new Peers(settings.seeds().keySet());
-        this.users = new UserApi(turn, settings, policy, store, requests, writes, types, this::promised, onceKeys);
+        this.users = new UserApi(turn, settings, policy, store, requests, writes, types, this::promised, onceKeys, this::leaderWrites);
         this.cron = policy.cron().on() ? new CronApi(turn, settings, store, requests, writes, users, this::held) : null;
         long ttl = Math.max(3000, Math.min(9000, settings.workers().leaseMs() / 4));
         this.election = new Election(turn, store, requests, settings.node(), ttl, new Election.Listener() {
@@ -99,6 +101,11 @@
         share(false);
     }
 
+    /** Whether this node leads and its changes do not suffice for everybody. */
+    private boolean leaderWrites() {
+        return election.valid() && writes.available(turn.now()) < SPARE * writes.most();
+    }
+
     private void promised(JobRef ref, ObjectNode state) {
         Job known = leader.active() ? leader.book().job(ref) : null;
         Views.counted(known != null ? Progress.count(known) : progress.of(ref, turn.now()), state);
--- a/src/main/java/org/beechhoist/core/Shares.java
+++ b/src/main/java/org/beechhoist/core/Shares.java
@@ -22,6 +22,11 @@
     private Shares() {
     }
 
+    /** What users of one node may count on while a leader is busy. */
+    static double usersPart(double total, int nodes) {
+        return (1 - LEADER) * total / nodes;
+    }
+
     /** @param total changes a second for all nodes together; {@code wants} of all nodes, the asking one first */
     static double of(double total, List<Want> wants) {
         int n = wants.size();
--- a/src/main/java/org/beechhoist/core/UserApi.java
+++ b/src/main/java/org/beechhoist/core/UserApi.java
@@ -8,6 +8,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.function.BiConsumer;
+import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import org.beechhoist.config.Policy;
 import org.beechhoist.config.Settings;
@@ -34,6 +35,8 @@
     private static final int CACHED_ENDED = 2000;
     private static final int MAX_COMMITS = 4;
     private static final int MAX_QUEUE = 400;
+    /** Well under the size limit of a transaction. */
+    private static final int MAX_BATCH = 20;
     private static final int MAX_RACES = 6;
 
     static final String TYPES = "the machine types are not known yet";
@@ -58,11 +61,19 @@
     private final OnceKeys onceKeys;
     private final StatusReads reads;
     private final TeamTurns turns = new TeamTurns();
+    /**
+     * What users may take of a leader's changes while they run short: as much as on any other node. With a hundred submissions
+     * a second those on the leader's node took all of its part, and nothing was launched for 20 s.
+     */
+    private final Budget beside;
+    private final BooleanSupplier leaderWrites;
     private final List<Submission> queue = new ArrayList<>();
     private int commits;
 
     UserApi(Turn turn, Settings settings, Policy policy, StoreClient store, Budget requests, Budget writes, Types types,
-            BiConsumer<JobRef, ObjectNode> promised, OnceKeys onceKeys) {
+            BiConsumer<JobRef, ObjectNode> promised, OnceKeys onceKeys, BooleanSupplier leaderWrites) {
+        this.leaderWrites = leaderWrites;
+        this.beside = new Budget(Math.max(1, Shares.usersPart(settings.stateLimits().writeRps(), settings.nodes())));
         this.onceKeys = onceKeys;
         this.reads = new StatusReads(turn, store, requests, settings);
         this.turn = turn;
@@ -166,8 +177,8 @@
 
     private void flush() {
         while (!queue.isEmpty() && commits < MAX_COMMITS) {
-            int room = (int) Math.min(settings.stateLimits().txnOps(), Math.floor(writes.available(turn.now())));
-            room = Math.min(room, 20); // well under the size limit of a transaction
+            double left = Math.min(writes.available(turn.now()), leaderWrites.getAsBoolean() ? beside.available(turn.now()) : MAX_BATCH);
+            int room = (int) Math.min(Math.min(settings.stateLimits().txnOps(), MAX_BATCH), Math.floor(left));
             if (room < 1 || !requests.tryTake(turn.now(), 1)) {
                 // Refused rather than held: the user is told when to come back.
                 writes.missed(queue.size());
@@ -190,6 +201,7 @@
                 puts += OnceKeys.puts(s.spec);
             }
             writes.take(turn.now(), puts);
+            beside.take(turn.now(), puts);
             send(batch);
             twins.forEach(t -> answerKnown(t.request, t.spec.ref()));
         }
--- a/src/test/java/org/beechhoist/sim/NightTest.java
+++ b/src/test/java/org/beechhoist/sim/NightTest.java
@@ -136,4 +136,19 @@
         assertEquals(List.of(), w.unfinished());
         assertEquals(0, w.keys("jo/").size(), "all final states are moved once there is time for it");
     }
+
+    /** A hundred submissions a second: those on the leader's node took all of its changes, and nothing was launched for 20 s. */
+    @Test
+    void submissionsLeaveTheLeaderItsChanges() {
+        World w = new World(77, new World.Scale(5, 20, 6000, 2000, StateService.KEPT_CHANGES).with(Extent.strict()));
+        w.every(1000, () -> w.submit("slow", false, 4, 1, 20, n -> n.put("owner", "blue").put("loaner", true)));
+        w.runUntil(60_000);
+        int before = w.started;
+        for (int i = 0; i < 1500; i++) {
+            w.later(i * 10L, () -> w.submit("tiny", false, 1, 0.25, 4, n -> n.put("owner", "blue").put("urgency", "low").put("loaner", true)));
+        }
+        w.runUntil(80_000);
+        // Four tasks a second are asked for beside the swarm, which waits for machines; without the bound none began.
+        assertTrue(w.started - before > 60, w.started - before + " starts in 20 s");
+    }
 }
