--- a/src/main/java/org/beechhoist/core/UserApi.java
+++ b/src/main/java/org/beechhoist/core/UserApi.java
@@ -35,8 +35,7 @@
     private static final int CACHED_ENDED = 2000;
     private static final int MAX_COMMITS = 4;
     private static final int MAX_QUEUE = 400;
-    /** Well under the size limit of a transaction. */
-    private static final int MAX_BATCH = 20;
+    private static final int MAX_BATCH = 20; // well under the size limit of a transaction
     private static final int MAX_RACES = 6;
 
     static final String TYPES = "the machine types are not known yet";
@@ -268,8 +267,7 @@
     // ---- state ----
 
     /** What the state service holds of a job; {@code status} is null where it holds nothing. */
-    private record Found(JsonNode status, StoreClient.Item open) {
-    }
+    private record Found(JsonNode status, StoreClient.Item open) { }
 
     /** Reads a job; hands over null where nothing could be learnt. */
     private void read(JobRef ref, boolean allowed, Consumer<Found> then) {
