--- a/src/main/java/org/beechhoist/core/Book.java
+++ b/src/main/java/org/beechhoist/core/Book.java
@@ -137,7 +137,7 @@
 
     /** The machine, entered if it was not known. */
     Host host(HostId id) {
-        return hosts.computeIfAbsent(id, Host::new);
+        return hosts.computeIfAbsent(id, k -> new Host(k, turn.now()));
     }
 
     /** The machine, or null. */
--- a/src/main/java/org/beechhoist/core/Controller.java
+++ b/src/main/java/org/beechhoist/core/Controller.java
@@ -39,6 +39,9 @@
     private static final long TELL_MS = 1000;
     /** The election's watch and lease make the state service answer more often than this. */
     private static final long STORE_SILENT_MS = 6000;
+    /** Nothing heard of the state service, though it was asked so often, nor of others, who speak once a second. */
+    private static final long CUT_MS = 3000;
+    private static final int UNHEARD_CALLS = 2;
 
     private final Settings settings;
     private final Metrics metrics;
@@ -59,6 +62,9 @@
     private final CronApi cron;
     private boolean seenStore;
     private Tick storeServed = Tick.ZERO;
+    private Tick storeHeard = Tick.ZERO;
+    /** Calls to the state service in a row that had no answer of any kind. */
+    private int storeUnheard;
     private Tick nextTell = Tick.ZERO;
 
     /** @param seed of the search's random moves */
@@ -69,6 +75,8 @@
         this.writes = new Budget(settings.stateLimits().writeRps());
         StoreClient store = new StoreClient((target, address, method, path, body, timeoutMs, then) ->
                 turn.call(target, address, method, path, body, timeoutMs, o -> {
+                    storeUnheard = o.kind() == Outcome.Kind.ANSWERED ? 0 : storeUnheard + 1;
+                    storeHeard = o.kind() == Outcome.Kind.ANSWERED ? turn.now() : storeHeard;
                     if (o.kind() == Outcome.Kind.ANSWERED && o.status() < 500) {
                         seenStore = true;
                         storeServed = turn.now();
@@ -79,7 +87,7 @@
         OnceKeys onceKeys = new OnceKeys(policy.cron());
         this.hearing = new Hearing(Math.round(1000 * settings.workers().reportS()));
         this.peers = new Peers(settings.seeds().keySet());
-        this.users = new UserApi(turn, settings, policy, store, requests, writes, types, this::promised, onceKeys, this::leaderWrites);
+        this.users = new UserApi(turn, settings, policy, store, requests, writes, types, this::promised, onceKeys, this::leaderWrites, this::cutOff);
         this.cron = policy.cron().on() ? new CronApi(turn, settings, store, requests, writes, users, this::held) : null;
         long ttl = Math.max(3000, Math.min(9000, settings.workers().leaseMs() / 4));
         this.election = new Election(turn, store, requests, settings.node(), ttl, new Election.Listener() {
@@ -204,7 +212,16 @@
      */
     private boolean ready() {
         boolean refusedAlone = turn.now().since(storeServed) > STORE_SILENT_MS && peers.servedElsewhere(turn.now());
-        return types.known() && seenStore && !refusedAlone;
+        return types.known() && seenStore && !refusedAlone && !cutOff();
+    }
+
+    /**
+     * Whether neither the state service nor any other node reaches this one any more. An outage is answered, by 503, and others are
+     * heard in it; a filter between nodes leaves the state service. Users are told at once, workers are sent on.
+     */
+    private boolean cutOff() {
+        long quiet = turn.now().since(storeHeard);
+        return seenStore && (quiet > STORE_SILENT_MS || storeUnheard >= UNHEARD_CALLS && quiet > CUT_MS) && peers.silent(turn.now(), CUT_MS);
     }
 
     /** A request on the public address. Each is answered with one {@link Effect.Answer}, perhaps later. */
@@ -330,7 +347,7 @@
     private void notLeader(long id) {
         ObjectNode where = Codec.map();
         String hint = peers.leader(turn.now());
-        String foreman = hint != null ? hint : election.leading() ? null : election.leader();
+        String foreman = hint != null ? hint : election.otherLeader();
         if (foreman != null) {
             where.put("foreman", foreman);
         }
--- a/src/main/java/org/beechhoist/core/Election.java
+++ b/src/main/java/org/beechhoist/core/Election.java
@@ -26,6 +26,8 @@
     private static final long SHORT_REIGN_MS = 20_000;
     private static final int MOST_SHORT_REIGNS = 2;
     private static final long LONGEST_PAUSE_MS = 8000;
+    /** A watch is answered every 4 s: what the state service told longer ago is a memory. */
+    private static final long TOLD_MS = 6000;
 
     /** What a change of leadership means to the rest. */
     interface Listener {
@@ -44,7 +46,10 @@
     private long lease;
     private boolean leading;
     private Baton baton = Baton.NONE;
+    private Baton firstBaton = Baton.NONE;
     private Tick validUntil = Tick.ZERO;
+    /** When the state service last told whose the key is. */
+    private Tick told = Tick.ZERO;
     /** After giving the lead up: others come first. */
     private Tick standFrom = Tick.ZERO;
     private long round;
@@ -80,9 +85,14 @@
         return baton;
     }
 
-    /** The leader's name as far as known, or null. */
-    String leader() {
-        return leading ? node : leader;
+    /** The first token of this leadership: whoever has seen it has spoken since. */
+    Baton firstBaton() {
+        return firstBaton;
+    }
+
+    /** The other node that leads, or null: none does, or who did so is only remembered. */
+    String otherLeader() {
+        return leading || turn.now().since(told) > TOLD_MS ? null : leader;
     }
 
     /** Guards a leader's transaction: late ones die when the key changes hands or is written anew. */
@@ -128,6 +138,7 @@
                 item = i.key().equals(KEY) ? i : item;
             }
             leader = item == null ? null : item.value().path("node").asText(null);
+            told = turn.now();
             if (item == null && turn.now().before(standFrom)) {
                 later(700, r);
             } else if (item == null) {
@@ -172,6 +183,7 @@
                 later(c.status() == 410 ? 100 : 500, r);
                 return;
             }
+            told = turn.now();
             StoreClient.Item last = null;
             for (StoreClient.Item i : c.log()) {
                 last = i.key().equals(KEY) ? i : last;
@@ -222,6 +234,7 @@
         lease = hold;
         leading = true;
         baton = new Baton(revision.value());
+        firstBaton = baton;
         validUntil = Tick.ZERO;
         vouch(sent);
         LOG.info("leader from now on, baton {}", baton.value());
--- a/src/main/java/org/beechhoist/core/Host.java
+++ b/src/main/java/org/beechhoist/core/Host.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import org.beechhoist.elastic.Damping;
+import org.beechhoist.reach.Ears;
 import org.beechhoist.store.Placement;
 import org.beechhoist.wire.Baton;
 import org.beechhoist.wire.HostId;
@@ -28,6 +29,18 @@
     /** Newest message of the worker. */
     long shift;
     long counter;
+    /** When the newest message of the worker came; no report older than that is more than a copy. */
+    Tick newestAt = Tick.ZERO;
+    /** Its newest message is a report that was answered with 200. */
+    boolean answeredNewest;
+    /** Orders and questions that it may have counted, though no answer came, since its newest message. */
+    boolean callsLost;
+    /** Whether it hears; what it says does not prove that. */
+    Ears ears;
+    /** It is there: the cloud has listed or rented it, or it has answered this leadership. A report alone may be a copy. */
+    boolean there;
+    /** Reports that have seen no newer token than this may be of an earlier worker of the machine's name. */
+    Baton ghosts = Baton.NONE;
     /** Newest {@code /checkin} report: only these prove that a task is absent. */
     HostReport lastCheckin;
     Tick lastHeard;
@@ -55,6 +68,8 @@
     boolean asked;
     int unanswered;
     Tick answersAt = Tick.ZERO;
+    /** Until then it is not given up: an old report of it has come, and it is asked whether it is there. */
+    Tick mayAnswerUntil = Tick.ZERO;
     Tick rentedAt;
     boolean up;
     /** The cloud lists it as running, though it may not have reported to this leadership yet. */
@@ -70,14 +85,41 @@
     /** Jobs whose tasks failed on it since one last completed, and how many of each. */
     final Map<JobRef, Integer> failedJobs = new HashMap<>();
 
-    Host(HostId id) {
+    Host(HostId id, Tick now) {
         this.id = id;
+        this.ears = Ears.from(now);
     }
 
     boolean known() {
         return type != null;
     }
 
+    /** A newer message of its worker has come. */
+    void newest(HostReport r, Tick now) {
+        shift = r.shift();
+        counter = r.counter();
+        newestAt = now;
+        answeredNewest = false;
+        callsLost = false;
+    }
+
+    /** It has answered a question or command of this leadership. */
+    void answers(Tick now) {
+        ears = ears.proved(now);
+        there = true;
+    }
+
+    /** A question or command was not answered; where this node itself is late, that tells nothing of the machine. */
+    void missed(Tick now, boolean late) {
+        ears = late ? ears : ears.missed(1, now);
+        callsLost = true;
+    }
+
+    /** Tasks given to it that it has shown, or that it has not. */
+    int placedAndSeen(boolean seen) {
+        return (int) placements.values().stream().filter(p -> p.sent && seen == p.seen).count();
+    }
+
     /** How long a task of the job would wait for its image here. */
     long fetchMs(JobSpec s, HostType t) {
         return images.containsKey(s.image()) ? 0 : Math.round(1000 * s.imageGb() / t.fetchGbPerS());
--- /dev/null
+++ b/src/main/java/org/beechhoist/core/JobStates.java
@@ -0,0 +1,52 @@
+package org.beechhoist.core;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import org.beechhoist.wire.Codec;
+import org.beechhoist.wire.JobRef;
+
+/** What users are told of a job, by what the state service holds of it. */
+final class JobStates {
+    private JobStates() {
+    }
+
+    static ObjectNode reason(String text) {
+        return Codec.map().put("error", text);
+    }
+
+    static ObjectNode state(JobRef ref, String status) {
+        return Codec.map().put("ref", ref.text()).put("status", status);
+    }
+
+    static ObjectNode endedState(JobRef ref, JsonNode value) {
+        ObjectNode n = state(ref, value.path("status").asText()).put("done", value.path("done").asInt()).put("running", 0);
+        if (value.hasNonNull("origin")) {
+            n.put("origin", value.get("origin").asText());
+        }
+        return n;
+    }
+
+    static ObjectNode openState(JobRef ref, JsonNode value) {
+        int done = value.path("doneCount").asInt();
+        JsonNode runs = value.path("doneCount").isMissingNode() ? value.path("done") : Codec.list(); // an older record
+        for (int i = 0; i + 1 < runs.size(); i += 2) {
+            done += runs.get(i + 1).asInt() - runs.get(i).asInt() + 1;
+        }
+        int running = value.path("running").asInt();
+        String status = value.path("cancel").asLong() > 0 ? "cancelled" : running > 0 ? "running" : "queued";
+        ObjectNode n = state(ref, status).put("done", done).put("running", running);
+        if (value.path("spec").hasNonNull("origin")) {
+            n.put("origin", value.get("spec").get("origin").asText());
+        }
+        if (value.hasNonNull("reason")) {
+            n.put("reason", value.get("reason").asText());
+        }
+        if (value.hasNonNull("width")) {
+            n.set("width", value.get("width"));
+            if (value.get("width").path("most").asInt() == 0) {
+                n.put("reason", "paused: its width is 0");
+            }
+        }
+        return n;
+    }
+}
--- a/src/main/java/org/beechhoist/core/Leader.java
+++ b/src/main/java/org/beechhoist/core/Leader.java
@@ -127,9 +127,9 @@
         Ordering ordering = new Ordering(turn, settings, policy, book, estimates);
         this.departures = new Departures(book, orders, stopping, recovery);
         this.provisioner = new Provisioner(turn, settings, policy, election, types, book, ordering, estimates, faults, departures,
-                recovery, starting);
+                recovery, starting, this::beganAnew);
         this.elastic = new Elastic(turn, policy.elastic(), book, types, estimates, stopping, departures);
-        this.reports = new Reports(turn, election, book, loading, types, estimates, departures, faults, provisioner, elastic);
+        this.reports = new Reports(turn, settings, election, book, loading, types, estimates, departures, faults, provisioner, elastic);
         this.admission = new Admission(turn, settings, types, book, faults);
         this.planner = new Planner(turn, settings, policy, random, types, book, estimates, ordering, admission,
                 provisioner, elastic, starting);
@@ -183,6 +183,28 @@
         reports.checkin(request, r);
     }
 
+    /**
+     * A machine was asked and its worker says less than before: it stopped and is back with its name and a worker that knows
+     * nothing. What was on it is gone with that; but commands for its first session, which may still be on their way, would be
+     * carried out. So what the new one does not hold is gone once it has seen a newer token.
+     */
+    private void beganAnew(Host h, HostReport r) {
+        LOG.info("{} began anew: session {}, message {}", h.id, r.shift(), r.counter());
+        h.newest(r, turn.now());
+        h.lastCheckin = null;
+        h.images.clear();
+        h.limbo = election.baton();
+        h.ghosts = election.baton();
+        committer.wantRotation();
+        for (Placement p : h.placements.values()) {
+            if (p.sent) {
+                p.sentShift = r.shift();
+                p.sentCounter = r.counter();
+            }
+        }
+        book.replan();
+    }
+
     private void launch(List<Placement> placed) {
         placed.forEach(recovery::placed);
         Set<Host> reached = new LinkedHashSet<>();
@@ -279,7 +301,7 @@
         int up = 0;
         int heard = 0;
         for (Host h : book.hosts()) {
-            if (h.known() && !h.returning && (h.up || h.listedUp)) {
+            if (h.known() && h.there && !h.returning && (h.up || h.listedUp)) {
                 up++;
                 heard += h.lastHeard != null && turn.now().since(h.lastHeard) < window ? 1 : 0;
             }
--- /dev/null
+++ b/src/main/java/org/beechhoist/core/OpenReads.java
@@ -0,0 +1,124 @@
+package org.beechhoist.core;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.Consumer;
+import org.beechhoist.config.Settings;
+import org.beechhoist.store.Budget;
+import org.beechhoist.store.JobRecord;
+import org.beechhoist.store.StoreClient;
+import org.beechhoist.store.StoreClient.Read;
+import org.beechhoist.wire.JobRef;
+import org.beechhoist.wire.Tick;
+
+/**
+ * Reads of open records for polls. One each while requests are plentiful. Where they run short none is refused for that: those
+ * that come within a moment share listings, which begin at whoever has waited longest. With all nodes started anew each poll was a
+ * read, and some jobs were unlucky again and again.
+ */
+final class OpenReads {
+    private static final String LISTED = JobRecord.OPEN;
+    /** Of one listing: some hundred records are a few hundred KB at the most. */
+    private static final int MOST_LISTED = 100;
+    private static final int MOST_WAITING = 1000;
+    /** Users wait 2 s; who waited this long is told to come back. */
+    private static final long LONGEST_WAIT_MS = 1400;
+
+    private record Waiting(JobRef ref, Tick since, Consumer<Read> then) {
+    }
+
+    private final Turn turn;
+    private final StoreClient store;
+    private final Budget requests;
+    private final long gatherMs;
+    private List<Waiting> waiting = new ArrayList<>();
+    private boolean asking;
+    private boolean timed;
+    private Tick nextAsk = Tick.ZERO;
+
+    OpenReads(Turn turn, StoreClient store, Budget requests, Settings settings) {
+        this.turn = turn;
+        this.store = store;
+        this.requests = requests;
+        this.gatherMs = StatusReads.gatherMs(settings);
+    }
+
+    /** Hands over what the state service holds, or {@link Read#UNKNOWN}. */
+    void read(JobRef ref, Consumer<Read> then) {
+        if (StatusReads.spare(requests, turn.now()) && requests.tryTake(turn.now(), 1)) {
+            store.get(JobRecord.openKey(ref), then);
+        } else if (waiting.size() >= MOST_WAITING) {
+            then.accept(Read.UNKNOWN);
+        } else {
+            waiting.add(new Waiting(ref, turn.now(), then));
+            ask();
+        }
+    }
+
+    private void ask() {
+        refuseLate();
+        if (asking || waiting.isEmpty()) {
+            return;
+        }
+        if (turn.now().before(nextAsk)) {
+            if (!timed) {
+                timed = true;
+                turn.after(nextAsk.since(turn.now()), () -> {
+                    timed = false;
+                    ask();
+                });
+            }
+            return;
+        }
+        nextAsk = turn.now().plusMs(gatherMs);
+        asking = true;
+        String first = JobRecord.openKey(waiting.get(0).ref);
+        Set<Waiting> asked = new HashSet<>(waiting);
+        requests.take(turn.now(), 1); // so few of them that none needs to wait for its turn
+        store.list(LISTED, before(first), MOST_LISTED, page -> {
+            asking = false;
+            if (page.ok()) {
+                listed(first, asked, page);
+            }
+            ask();
+        });
+    }
+
+    /** A key that comes before this one and after all others that do. */
+    private static String before(String key) {
+        int last = key.length() - 1;
+        return key.substring(0, last) + (char) (key.charAt(last) - 1) + "~";
+    }
+
+    private void listed(String first, Set<Waiting> asked, StoreClient.Page page) {
+        Map<String, StoreClient.Item> items = new HashMap<>();
+        String end = first;
+        for (StoreClient.Item i : page.items()) {
+            items.put(i.key(), i);
+            end = i.key();
+        }
+        List<Waiting> before = waiting;
+        List<Waiting> out = new ArrayList<>();
+        waiting = new ArrayList<>();
+        for (Waiting w : before) {
+            String key = JobRecord.openKey(w.ref);
+            boolean within = key.compareTo(first) >= 0 && (!page.more() || key.compareTo(end) <= 0);
+            if (within && asked.contains(w)) {
+                out.add(w);
+            } else {
+                waiting.add(w); // also who came while the listing was on its way: it may be older than what they were told
+            }
+        }
+        out.forEach(w -> w.then.accept(new Read(true, items.get(JobRecord.openKey(w.ref)))));
+    }
+
+    private void refuseLate() {
+        List<Waiting> late = new ArrayList<>();
+        waiting.removeIf(w -> turn.now().since(w.since) > LONGEST_WAIT_MS && late.add(w));
+        late.forEach(w -> w.then.accept(Read.UNKNOWN));
+    }
+}
--- a/src/main/java/org/beechhoist/core/Orders.java
+++ b/src/main/java/org/beechhoist/core/Orders.java
@@ -49,7 +49,7 @@
     }
 
     private boolean reachable(Host h) {
-        return h.up && h.lastHeard != null && !h.returning
+        return h.up && h.address != null && h.lastHeard != null && !h.returning && !h.ears.deaf()
                 && turn.now().since(h.lastHeard) < settings.workers().reportS() * 2500;
     }
 
@@ -104,6 +104,16 @@
         });
     }
 
+    /** Its address belongs to another machine now, which has been given its launches: they are ended there, and count as on their way here. */
+    private void anotherAnswered(Host h, HostReport report, List<Placement> launches) {
+        LOG.warn("{}: {} answers at its address", h.id, report.host());
+        h.address = null;
+        Host there = book.known(report.host());
+        for (Placement p : there == null ? List.<Placement>of() : launches) {
+            there.outbox.add(Order.kill(p.task, p.attempt, 0));
+        }
+    }
+
     private void ordersDone(Host h, Outcome o, List<Placement> launches, Baton baton) {
         HostReport report = null;
         if (o.kind() == Outcome.Kind.ANSWERED && o.body() != null) {
@@ -113,6 +123,16 @@
                 LOG.debug("{}: strange report: {}", h.id, e.getMessage());
             }
         }
+        boolean other = report != null && !report.host().equals(h.id);
+        if (other) {
+            anotherAnswered(h, report, launches);
+            report = null;
+        }
+        if (report != null) {
+            h.answers(turn.now());
+        } else if (o.kind() != Outcome.Kind.NOT_SENT) {
+            h.missed(turn.now(), turn.late());
+        }
         boolean refused = o.kind() == Outcome.Kind.NOT_SENT || (report != null && o.is(409)) || o.is(400);
         if (refused) {
             launches.forEach(p -> p.sent = false);
@@ -124,8 +144,7 @@
         }
         if (report != null && report.host().equals(h.id) && report.newerThan(h.shift, h.counter)) {
             boolean sameShift = report.shift() == h.shift;
-            h.shift = report.shift();
-            h.counter = report.counter();
+            h.newest(report, turn.now());
             if (o.is(200)) {
                 for (Placement p : launches) {
                     p.sentShift = report.shift();
--- a/src/main/java/org/beechhoist/core/Peers.java
+++ b/src/main/java/org/beechhoist/core/Peers.java
@@ -75,6 +75,11 @@
         return best == null ? null : best.node();
     }
 
+    /** Whether there are others, and none has been heard for so long. */
+    boolean silent(Tick now, long forMs) {
+        return !seeds.isEmpty() && heard.values().stream().allMatch(h -> now.since(h.at) > forMs);
+    }
+
     /** Whether the state service serves some other node that users can turn to. */
     boolean servedElsewhere(Tick now) {
         for (Heard h : heard.values()) {
--- a/src/main/java/org/beechhoist/core/Provisioner.java
+++ b/src/main/java/org/beechhoist/core/Provisioner.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.BiConsumer;
 import org.beechhoist.config.Policy;
 import org.beechhoist.config.Settings;
 import org.beechhoist.plan.Plan;
@@ -16,6 +17,7 @@
 import org.beechhoist.wire.Calls;
 import org.beechhoist.wire.Codec;
 import org.beechhoist.wire.HostId;
+import org.beechhoist.wire.HostReport;
 import org.beechhoist.wire.HostType;
 import org.beechhoist.wire.Tick;
 import org.slf4j.Logger;
@@ -56,7 +58,7 @@
 
     Provisioner(Turn turn, Settings settings, Policy policy, Election election, Types types, Book book, Ordering ordering,
             Estimates estimates, Faults faults, Departures departures,
-            Recovery recovery, Starting starting) {
+            Recovery recovery, Starting starting, BiConsumer<Host, HostReport> beganAnew) {
         this.starting = starting;
         this.turn = turn;
         this.election = election;
@@ -66,7 +68,7 @@
         this.book = book;
         this.faults = faults;
         this.departures = departures;
-        this.silence = new Silence(turn, settings, policy, election, book, starting, recovery);
+        this.silence = new Silence(turn, settings, policy, election, book, starting, recovery, beganAnew);
         this.recovery = recovery;
         this.calls = new Budget(settings.cloudLimits().rps() * 0.8);
         this.renting = new Renting(turn, policy, election, types, book, ordering, estimates, calls);
@@ -75,7 +77,6 @@
     /** A new leadership begins: its baton makes the names of its rentals. */
     void reset(Baton newBaton) {
         renting.reset(newBaton);
-        gone.clear();
         listed = false;
         listing = false;
         returnCalls = 0;
@@ -176,6 +177,7 @@
                 h.rentedAt = asked.plusMs(-Math.round(1000 * n.path("ageS").asDouble(0)));
             }
             h.listedUp = n.path("status").asText().equals("running");
+            h.there = true;
             if (n.path("status").asText().equals("failed")) {
                 giveBack(h, "it failed");
             }
@@ -217,6 +219,8 @@
                 }
             } else if (silence.gone(h)) {
                 giveBack(h, "it is silent");
+            } else if (silence.deaf(h)) {
+                giveBack(h, "it speaks but does not hear");
             } else if (h.noticeEnds != null && h.placements.isEmpty() && h.strangers == 0) {
                 giveBack(h, "it is about to be taken and empty");
             } else if (faults.faulty(h)) {
--- a/src/main/java/org/beechhoist/core/Renting.java
+++ b/src/main/java/org/beechhoist/core/Renting.java
@@ -306,6 +306,7 @@
                     h.type = offer.type.name();
                     h.zone = offer.zone;
                     h.spot = offer.spot;
+                    h.there = true;
                     h.rentedAt = first;
                 }
                 LOG.info("rental {}: {} of {} {} in {}{}", name, got, number, offer.type.name(), offer.zone,
--- a/src/main/java/org/beechhoist/core/Reports.java
+++ b/src/main/java/org/beechhoist/core/Reports.java
@@ -5,6 +5,9 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
+import org.beechhoist.config.Settings;
+import org.beechhoist.reach.Ears;
+import org.beechhoist.reach.Standing;
 import org.beechhoist.start.Evidence;
 import org.beechhoist.start.Squaring;
 import org.beechhoist.store.Placement;
@@ -22,8 +25,11 @@
     private static final Logger LOG = LoggerFactory.getLogger(Reports.class);
     /** What a recovered task's placement and image took. */
     private static final long USUAL_FETCH_MS = 3000;
+    /** How long a machine whose silence was noticed has to answer, once a report of it has come that may be old. */
+    private static final long ANSWERS_MS = 3000;
 
     private final Turn turn;
+    private final Settings settings;
     private final Election election;
     private final Book book;
     private final Loading loading;
@@ -34,9 +40,10 @@
     private final Provisioner provisioner;
     private final Elastic elastic;
 
-    Reports(Turn turn, Election election, Book book, Loading loading, Types types, Estimates estimates,
+    Reports(Turn turn, Settings settings, Election election, Book book, Loading loading, Types types, Estimates estimates,
             Departures departures, Faults faults, Provisioner provisioner, Elastic elastic) {
         this.turn = turn;
+        this.settings = settings;
         this.election = election;
         this.book = book;
         this.loading = loading;
@@ -64,6 +71,34 @@
             return;
         }
         Host h = book.host(r.host());
+        boolean fresh = h.lastCheckin == null ? r.newerThan(h.shift, h.counter - 1) : r.newerThan(h.shift, h.counter);
+        Standing standing = Standing.of(r, fresh, h.ghosts, election.firstBaton(), turn.now().since(h.newestAt));
+        if (!standing.mayRenew()) {
+            turn.answer(request, 503, null); // a worker that began anew speaks like this, too, until it is asked (Silence)
+            return;
+        }
+        boolean hearing = !h.ears.deaf();
+        if (standing.tells()) {
+            take(h, r, standing);
+        }
+        List<Order> orders = new ArrayList<>();
+        if (loading.complete() && standing.tells()) {
+            orders.addAll(evaluate(h, r, true));
+            launch(h, r, orders);
+            if (hearing && h.ears.deaf()) {
+                LOG.info("{} speaks but does not hear: it gets nothing new, {} tasks are on their way to it", h.id, h.placedAndSeen(false));
+                book.replan();
+            }
+        }
+        h.answeredNewest = standing.tells();
+        h.lastAnswered = turn.now();
+        ObjectNode body = Codec.map().put("baton", election.baton().value());
+        body.set("orders", Order.toNode(orders));
+        turn.answer(request, 200, body, election.validUntil());
+    }
+
+    /** Nothing newer is known of the machine; whether it is more than a copy is what its standing says. */
+    private void take(Host h, HostReport r, Standing standing) {
         if (!h.up) {
             h.up = true;
             book.replan();
@@ -74,47 +109,53 @@
         h.type = r.type();
         h.zone = r.zone();
         h.spot = r.spot();
-        boolean fresh = h.lastCheckin == null ? r.newerThan(h.shift, h.counter - 1) : r.newerThan(h.shift, h.counter);
-        if (fresh) {
-            if (h.lastCheckin == null ? r.shift() != h.imagesShift : r.shift() > h.shift) {
-                h.images.clear();
-            }
-            h.shift = r.shift();
-            h.counter = r.counter();
-            h.lastCheckin = r;
+        if (h.lastCheckin == null ? r.shift() != h.imagesShift : r.shift() > h.shift) {
+            h.images.clear();
+        }
+        boolean lately = h.lastAnswered != null && turn.now().since(h.lastAnswered) < settings.workers().leaseMs();
+        if (h.lastCheckin != null) {
+            boolean newToken = standing.current() && r.baton().compareTo(h.lastCheckin.baton()) > 0;
+            h.ears = h.ears.after(new Ears.Message(r.shift() == h.shift, h.answeredNewest, r.counter() == h.counter + 1, newToken,
+                    h.callsLost || h.ordersInFlight > 0 || turn.late(), lately), turn.now());
+        } else if (standing.current()) {
+            h.ears = h.ears.proved(turn.now());
+        }
+        h.newest(r, turn.now());
+        h.lastCheckin = r;
+        h.there |= standing.current();
+        if (standing.current() || h.unanswered == 0) {
             h.lastHeard = turn.now();
-            if (r.noticeS() != null) {
-                if (h.noticeEnds == null) {
-                    LOG.info("{} is taken back in {} s", h.id, r.noticeS());
-                    book.replan();
-                }
-                h.noticeEnds = turn.now().plusMs(Math.round(1000 * r.noticeS()));
-            } else {
-                h.noticeEnds = null;
+        } else {
+            h.unanswered = 0; // a copy ends no silence that was noticed; but it may be the machine's first, so it is asked once more
+            h.mayAnswerUntil = turn.now().plusMs(ANSWERS_MS);
+        }
+        if (standing.current() && r.noticeS() != null) {
+            if (h.noticeEnds == null) {
+                LOG.info("{} is taken back in {} s", h.id, r.noticeS());
+                book.replan();
             }
+            h.noticeEnds = turn.now().plusMs(Math.round(1000 * r.noticeS()));
+        } else if (standing.current()) {
+            h.noticeEnds = null;
         }
-        List<Order> orders = new ArrayList<>();
-        if (loading.complete() && fresh) {
-            orders.addAll(evaluate(h, r, true));
-            for (Placement p : new ArrayList<>(h.placements.values())) {
-                Job j = book.job(p.task.job());
-                if (p.committed && elastic.withdraws(j, p, h)) {
-                    departures.remove(j, p);
-                    continue;
-                }
-                boolean again = p.sent && h.limbo.compareTo(r.baton()) >= 0 && find(r, p) == null && h.ordersInFlight == 0;
-                if (p.committed && (!p.sent || again) && orders.size() < Orders.MAX_ORDERS && !h.returning) {
-                    orders.add(Order.launch(p.task, p.attempt));
-                    p.sent = true;
-                    p.sentShift = r.shift();
-                    p.sentCounter = r.counter();
-                }
+    }
+
+    /** What is to be launched there goes with the answer; a machine that doesn't hear gets nothing, and what was never sent there waits again. */
+    private void launch(Host h, HostReport r, List<Order> orders) {
+        for (Placement p : new ArrayList<>(h.placements.values())) {
+            Job j = book.job(p.task.job());
+            if (p.committed && (elastic.withdraws(j, p, h) || h.ears.deaf() && !p.sent)) {
+                departures.remove(j, p);
+                continue;
+            }
+            boolean again = p.sent && h.limbo.compareTo(r.baton()) >= 0 && find(r, p) == null && h.ordersInFlight == 0;
+            if (p.committed && (!p.sent || again) && orders.size() < Orders.MAX_ORDERS && !h.returning && !h.ears.deaf()) {
+                orders.add(Order.launch(p.task, p.attempt));
+                p.sent = true;
+                p.sentShift = r.shift();
+                p.sentCounter = r.counter();
             }
         }
-        h.lastAnswered = turn.now();
-        ObjectNode body = Codec.map().put("baton", election.baton().value());
-        body.set("orders", Order.toNode(orders));
-        turn.answer(request, 200, body, election.validUntil());
     }
 
     private static HostReport.Entry find(HostReport r, Placement p) {
@@ -206,6 +247,12 @@
     }
 
     private void present(Host h, Job j, Placement p, HostReport.Entry e, Squaring.Decision d, List<Order> orders) {
+        if (!p.seen) {
+            p.seen = true;
+            if (p.sent && !p.recovered) {
+                h.ears = h.ears.proved(turn.now()); // it has carried out a launch
+            }
+        }
         if (!p.sent) {
             p.sent = true; // an earlier leadership's launch
             p.sentShift = h.shift;
--- a/src/main/java/org/beechhoist/core/Silence.java
+++ b/src/main/java/org/beechhoist/core/Silence.java
@@ -5,10 +5,15 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.function.BiConsumer;
 import org.beechhoist.config.Policy;
 import org.beechhoist.config.Settings;
 import org.beechhoist.wire.Calls;
+import org.beechhoist.wire.HostReport;
+import org.beechhoist.wire.Malformed;
 import org.beechhoist.wire.Outcome;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /**
  * Whether a machine that is not heard is to be given up. Silence proves nothing about its tasks, it only decides when the
@@ -16,6 +21,7 @@
  * is given up sooner than one that nobody asked.
  */
 final class Silence {
+    private static final Logger LOG = LoggerFactory.getLogger(Silence.class);
     /** Questions on their way at once: each takes a socket, and those to dead machines hang. */
     private static final int MOST_ASKED = 60;
     private static final long ANSWER_MS = 2000;
@@ -29,11 +35,11 @@
     /** What is known of a zone's machines in this turn. */
     private static final class Zone {
         private int up;
-        private int silent;
+        private int dark;
 
-        /** Most are silent: more likely the network than the machines. */
+        /** Most are silent, or don't hear: more likely the network than the machines. */
         private boolean dark() {
-            return silent >= LEAST_IN_ZONE && silent * 2 > up;
+            return dark >= LEAST_IN_ZONE && dark * 2 > up;
         }
     }
 
@@ -44,11 +50,15 @@
     private final Book book;
     private final Starting starting;
     private final Recovery recovery;
+    /** A worker is asked and says less than it has said before. */
+    private final BiConsumer<Host, HostReport> beganAnew;
     private final Map<String, Zone> zones = new HashMap<>();
     private boolean blind;
     private int asked;
 
-    Silence(Turn turn, Settings settings, Policy policy, Election election, Book book, Starting starting, Recovery recovery) {
+    Silence(Turn turn, Settings settings, Policy policy, Election election, Book book, Starting starting, Recovery recovery,
+            BiConsumer<Host, HostReport> beganAnew) {
+        this.beganAnew = beganAnew;
         this.turn = turn;
         this.settings = settings;
         this.policy = policy;
@@ -83,12 +93,20 @@
                 continue;
             }
             long quiet = turn.now().since(book.heard(h));
+            if (!h.there && !h.listedUp && h.placements.isEmpty()) {
+                ask(h); // nothing but a report tells of it, which may be a copy: it counts for no zone
+                continue;
+            }
             Zone z = zones.computeIfAbsent(String.valueOf(h.zone), k -> new Zone());
             up++;
             z.up++;
+            boolean dark = quiet > lateMs() || h.ears.deaf();
+            z.dark += dark ? 1 : 0;
+            silent += dark ? 1 : 0;
+            if (h.ears.missed() > 0 && !h.ears.deaf()) {
+                ask(h); // one lost message may be the way's fault; a second is not waited for
+            }
             if (quiet > lateMs()) {
-                z.silent++;
-                silent++;
                 ask(h);
             } else if (starting.asksEarly(h)) {
                 early.add(h);
@@ -112,6 +130,8 @@
         }
         h.asked = true;
         asked++;
+        long shift = h.shift;
+        long counter = h.counter;
         long reign = book.reign();
         turn.command(election.validUntil(), Calls.Target.HOST, h.address, "GET", "/show", null, ANSWER_MS, o -> {
             if (reign != book.reign()) {
@@ -120,18 +140,52 @@
             asked--;
             starting.answered();
             h.asked = false;
-            boolean answers = o.kind() == Outcome.Kind.ANSWERED;
-            h.unanswered = answers ? 0 : h.unanswered + 1;
-            if (answers) {
-                h.answersAt = turn.now();
-            }
+            answered(h, o, shift, counter);
         });
     }
 
+    /** @param shift the newest message known when the question was sent, and {@code counter} */
+    private void answered(Host h, Outcome o, long shift, long counter) {
+        HostReport r = null;
+        try {
+            r = o.ok() ? HostReport.parse(o.body()) : null;
+        } catch (Malformed e) {
+            LOG.debug("{}: strange report: {}", h.id, e.getMessage());
+        }
+        if (r == null || !r.host().equals(h.id)) { // another machine may have its address
+            if (o.kind() != Outcome.Kind.NOT_SENT) {
+                h.unanswered++;
+                h.missed(turn.now(), turn.late());
+            }
+            return;
+        }
+        h.unanswered = 0;
+        h.answersAt = turn.now();
+        h.answers(turn.now());
+        if (r.newerThan(h.shift, h.counter)) {
+            h.newest(r, turn.now());
+        } else if (!r.newerThan(shift, counter)) {
+            beganAnew.accept(h, r);
+        }
+    }
+
+    /** Whether a machine that does not hear is to be returned for that. */
+    boolean deaf(Host h) {
+        Zone z = zones.get(String.valueOf(h.zone));
+        return h.ears.givenUp(h.placedAndSeen(false), h.placedAndSeen(true), blind || z != null && z.dark(), settings.workers().leaseMs(),
+                turn.now());
+    }
+
     /** Whether the machine is to be returned for its silence. */
     boolean gone(Host h) {
         long quiet = turn.now().since(book.heard(h));
         Zone z = zones.get(String.valueOf(h.zone));
+        if (turn.now().before(h.mayAnswerUntil)) {
+            return false;
+        }
+        if (h.ears.speaksOn()) {
+            return quiet > settings.workers().leaseMs(); // it goes round all nodes, and is heard here the less for that
+        }
         if (blind || (z != null && z.dark())) {
             return quiet > settings.workers().leaseMs();
         }
--- a/src/main/java/org/beechhoist/core/StatusReads.java
+++ b/src/main/java/org/beechhoist/core/StatusReads.java
@@ -63,7 +63,7 @@
         this.store = store;
         this.requests = requests;
         this.mostGuards = 4 * settings.stateLimits().txnOps();
-        this.gatherMs = Math.min(LONGEST_GATHER_MS, Math.round(1000 * settings.nodes() / (POLLS_SHARE * settings.stateLimits().rps())));
+        this.gatherMs = gatherMs(settings);
     }
 
     /** The job's record was read or written as this version. */
@@ -85,9 +85,18 @@
         ask();
     }
 
-    /** Takes one request for a poll's sake, if enough is left for what must not wait for polls. */
-    boolean allowed() {
-        return requests.available(turn.now()) >= 1 + LEFT * requests.most() && requests.tryTake(turn.now(), 1);
+    /** Whether enough requests are left for what must not wait for polls. */
+    static boolean spare(Budget requests, Tick now) {
+        return requests.available(now) >= 1 + LEFT * requests.most();
+    }
+
+    /** How long questions for polls gather while requests run short, for all nodes' to take no more than their share. */
+    static long gatherMs(Settings settings) {
+        return Math.min(LONGEST_GATHER_MS, Math.round(1000 * settings.nodes() / (POLLS_SHARE * settings.stateLimits().rps())));
+    }
+
+    private boolean allowed() {
+        return spare(requests, turn.now()) && requests.tryTake(turn.now(), 1);
     }
 
     private void ask() {
--- a/src/main/java/org/beechhoist/core/Turn.java
+++ b/src/main/java/org/beechhoist/core/Turn.java
@@ -20,6 +20,7 @@
     private static final double FADES = 0.9;
 
     private Tick now = Tick.ZERO;
+    private static final long LATE_MS = 1000;
     private double lateMs;
     private long wallMs;
     private long nextId = 1;
@@ -97,6 +98,11 @@
         }
     }
 
+    /** Whether this node is so far behind that what others don't seem to answer says nothing of them. */
+    boolean late() {
+        return lateMs > LATE_MS;
+    }
+
     /** How late deadlines have lately been met: a node that has used its share of the processor falls behind. */
     long lateMs() {
         return Math.round(lateMs);
--- a/src/main/java/org/beechhoist/core/UserApi.java
+++ b/src/main/java/org/beechhoist/core/UserApi.java
@@ -59,6 +59,7 @@
     private final Map<JobRef, JsonNode> ended = Recent.used(CACHED_ENDED);
     private final OnceKeys onceKeys;
     private final StatusReads reads;
+    private final OpenReads openReads;
     private final TeamTurns turns = new TeamTurns();
     /**
      * What users may take of a leader's changes while they run short: as much as on any other node. With a hundred submissions
@@ -66,15 +67,19 @@
      */
     private final Budget beside;
     private final BooleanSupplier leaderWrites;
+    /** Whether this node reaches neither the state service nor another node: what it would ask is not asked. */
+    private final BooleanSupplier cutOff;
     private final List<Submission> queue = new ArrayList<>();
     private int commits;
 
     UserApi(Turn turn, Settings settings, Policy policy, StoreClient store, Budget requests, Budget writes, Types types,
-            BiConsumer<JobRef, ObjectNode> promised, OnceKeys onceKeys, BooleanSupplier leaderWrites) {
+            BiConsumer<JobRef, ObjectNode> promised, OnceKeys onceKeys, BooleanSupplier leaderWrites, BooleanSupplier cutOff) {
+        this.cutOff = cutOff;
         this.leaderWrites = leaderWrites;
         this.beside = new Budget(Math.max(1, Shares.usersPart(settings.stateLimits().writeRps(), settings.nodes())));
         this.onceKeys = onceKeys;
         this.reads = new StatusReads(turn, store, requests, settings);
+        this.openReads = new OpenReads(turn, store, requests, settings);
         this.turn = turn;
         this.settings = settings;
         this.policy = policy;
@@ -92,15 +97,7 @@
 
     private void refuse(long request, String why) {
         LOG.debug("request {} is refused: {}", request, why);
-        turn.answer(request, 503, reason(why));
-    }
-
-    private static ObjectNode reason(String text) {
-        return Codec.map().put("error", text);
-    }
-
-    private static ObjectNode state(JobRef ref, String status) {
-        return Codec.map().put("ref", ref.text()).put("status", status);
+        turn.answer(request, 503, JobStates.reason(why));
     }
 
     // ---- submission ----
@@ -114,12 +111,16 @@
             }
             spec = (policy.cron().on() ? spec : spec.withoutOnceKey()).from(null);
         } catch (Malformed e) {
-            turn.answer(request, 400, reason(e.getMessage()));
+            turn.answer(request, 400, JobStates.reason(e.getMessage()));
             return;
         }
         JsonNode over = ended.get(spec.ref());
         if (over != null) {
-            turn.answer(request, 200, endedState(spec.ref(), over));
+            turn.answer(request, 200, JobStates.endedState(spec.ref(), over));
+            return;
+        }
+        if (cutOff.getAsBoolean()) {
+            refuse(request, STORE);
             return;
         }
         if (!types.known()) {
@@ -133,7 +134,7 @@
                 if (found == null) {
                     refuse(request, STORE);
                 } else if (found.status == null) {
-                    turn.answer(request, 422, reason(never));
+                    turn.answer(request, 422, JobStates.reason(never));
                 } else {
                     turn.answer(request, 200, found.status);
                 }
@@ -216,8 +217,8 @@
             commits--;
             if (c.result() == Commit.Result.DONE) {
                 for (Submission s : batch) {
-                    reads.remember(s.spec.ref(), c.revision(), openState(s.spec.ref(), new JobRecord(s.spec, turn.wallMs()).toNode()));
-                    turn.answer(s.request, 201, state(s.spec.ref(), "queued"));
+                    reads.remember(s.spec.ref(), c.revision(), JobStates.openState(s.spec.ref(), new JobRecord(s.spec, turn.wallMs()).toNode()));
+                    turn.answer(s.request, 201, JobStates.state(s.spec.ref(), "queued"));
                 }
             } else if (c.result() == Commit.Result.CONFLICT) {
                 for (Submission s : batch) {
@@ -273,68 +274,38 @@
     private void read(JobRef ref, boolean allowed, Consumer<Found> then) {
         JsonNode over = ended.get(ref);
         if (over != null) {
-            then.accept(new Found(endedState(ref, over), null));
+            then.accept(new Found(JobStates.endedState(ref, over), null));
             return;
         }
-        if (!allowed) {
+        if (!allowed || cutOff.getAsBoolean()) {
             then.accept(null);
             return;
         }
-        // Open before ended: a job moves from the one to the other, so this order can't miss it.
-        store.get(JobRecord.openKey(ref), open -> {
-            if (!open.known()) {
-                then.accept(null);
-            } else if (open.item() != null && JobRecord.isOver(open.item().value())) {
-                ended.put(ref, open.item().value());
-                then.accept(new Found(endedState(ref, open.item().value()), null));
-            } else if (open.item() != null) {
-                then.accept(new Found(openState(ref, open.item().value()), open.item()));
-            } else {
-                requests.take(turn.now(), 1);
-                store.get(JobRecord.endedKey(ref), end -> {
-                    if (!end.known()) {
-                        then.accept(null);
-                    } else if (end.item() == null) {
-                        then.accept(new Found(null, null));
-                    } else {
-                        ended.put(ref, end.item().value());
-                        then.accept(new Found(endedState(ref, end.item().value()), null));
-                    }
-                });
-            }
-        });
-    }
-
-    private static ObjectNode endedState(JobRef ref, JsonNode value) {
-        ObjectNode n = state(ref, value.path("status").asText()).put("done", value.path("done").asInt()).put("running", 0);
-        if (value.hasNonNull("origin")) {
-            n.put("origin", value.get("origin").asText());
-        }
-        return n;
+        store.get(JobRecord.openKey(ref), open -> found(ref, open, then));
     }
 
-    private static ObjectNode openState(JobRef ref, JsonNode value) {
-        int done = value.path("doneCount").asInt();
-        JsonNode runs = value.path("doneCount").isMissingNode() ? value.path("done") : Codec.list(); // an older record
-        for (int i = 0; i + 1 < runs.size(); i += 2) {
-            done += runs.get(i + 1).asInt() - runs.get(i).asInt() + 1;
-        }
-        int running = value.path("running").asInt();
-        String status = value.path("cancel").asLong() > 0 ? "cancelled" : running > 0 ? "running" : "queued";
-        ObjectNode n = state(ref, status).put("done", done).put("running", running);
-        if (value.path("spec").hasNonNull("origin")) {
-            n.put("origin", value.get("spec").get("origin").asText());
-        }
-        if (value.hasNonNull("reason")) {
-            n.put("reason", value.get("reason").asText());
-        }
-        if (value.hasNonNull("width")) {
-            n.set("width", value.get("width"));
-            if (value.get("width").path("most").asInt() == 0) {
-                n.put("reason", "paused: its width is 0");
-            }
+    /** Open before ended: a job moves from the one to the other, so this order can't miss it. */
+    private void found(JobRef ref, StoreClient.Read open, Consumer<Found> then) {
+        if (!open.known()) {
+            then.accept(null);
+        } else if (open.item() != null && JobRecord.isOver(open.item().value())) {
+            ended.put(ref, open.item().value());
+            then.accept(new Found(JobStates.endedState(ref, open.item().value()), null));
+        } else if (open.item() != null) {
+            then.accept(new Found(JobStates.openState(ref, open.item().value()), open.item()));
+        } else {
+            requests.take(turn.now(), 1);
+            store.get(JobRecord.endedKey(ref), end -> {
+                if (!end.known()) {
+                    then.accept(null);
+                } else if (end.item() == null) {
+                    then.accept(new Found(null, null));
+                } else {
+                    ended.put(ref, end.item().value());
+                    then.accept(new Found(JobStates.endedState(ref, end.item().value()), null));
+                }
+            });
         }
-        return n;
     }
 
     /** A job's state for somebody else's answer, or null where it can't be told now. */
@@ -344,7 +315,11 @@
 
     void status(long request, JobRef ref) {
         if (ended.containsKey(ref)) {
-            readStatus(request, ref, true);
+            read(ref, true, found -> told(request, ref, found));
+            return;
+        }
+        if (cutOff.getAsBoolean()) {
+            refuse(request, STORE);
             return;
         }
         reads.poll(ref, (result, state) -> {
@@ -353,26 +328,33 @@
                     promised.accept(ref, state);
                     turn.answer(request, 200, state);
                 }
-                case READ -> readStatus(request, ref, reads.allowed());
+                case READ -> openReads.read(ref, open -> readStatus(request, ref, open));
                 default -> refuse(request, STORE);
             }
         });
     }
 
-    private void readStatus(long request, JobRef ref, boolean allowed) {
-        read(ref, allowed, found -> {
-            if (found == null) {
-                refuse(request, STORE);
-            } else if (found.status == null) {
-                turn.answer(request, 404, reason("no such job"));
-            } else {
-                if (found.open != null) {
-                    reads.remember(ref, found.open.version(), (ObjectNode) found.status);
-                    promised.accept(ref, (ObjectNode) found.status);
-                }
-                turn.answer(request, 200, found.status);
+    private void readStatus(long request, JobRef ref, StoreClient.Read open) {
+        JsonNode over = ended.get(ref);
+        if (over != null) {
+            told(request, ref, new Found(JobStates.endedState(ref, over), null));
+        } else {
+            found(ref, open, f -> told(request, ref, f));
+        }
+    }
+
+    private void told(long request, JobRef ref, Found found) {
+        if (found == null) {
+            refuse(request, STORE);
+        } else if (found.status == null) {
+            turn.answer(request, 404, JobStates.reason("no such job"));
+        } else {
+            if (found.open != null) {
+                reads.remember(ref, found.open.version(), (ObjectNode) found.status);
+                promised.accept(ref, (ObjectNode) found.status);
             }
-        });
+            turn.answer(request, 200, found.status);
+        }
     }
 
     // ---- cancellation ----
@@ -382,11 +364,11 @@
             if (found == null || races > MAX_RACES) {
                 refuse(request, STORE);
             } else if (found.status == null) {
-                turn.answer(request, 404, reason("no such job"));
+                turn.answer(request, 404, JobStates.reason("no such job"));
             } else if (found.open == null) {
-                turn.answer(request, 200, state(ref, found.status.get("status").asText()));
+                turn.answer(request, 200, JobStates.state(ref, found.status.get("status").asText()));
             } else if (found.open.value().path("cancel").asLong() > 0) {
-                turn.answer(request, 200, state(ref, "cancelled"));
+                turn.answer(request, 200, JobStates.state(ref, "cancelled"));
             } else {
                 mark(request, ref, found.open, races);
             }
@@ -415,7 +397,7 @@
     private void mark(long request, JobRef ref, StoreClient.Item open, int races) {
         commitCancel(ref, open, c -> {
             switch (c.result()) {
-                case DONE -> turn.answer(request, 200, state(ref, "cancelled"));
+                case DONE -> turn.answer(request, 200, JobStates.state(ref, "cancelled"));
                 case CONFLICT -> cancel(request, ref, races + 1);
                 default -> refuse(request, STORE);
             }
@@ -430,11 +412,11 @@
         try {
             resize = Resize.parse(Codec.decodeMap(body));
         } catch (Malformed e) {
-            turn.answer(request, 400, reason(e.getMessage()));
+            turn.answer(request, 400, JobStates.reason(e.getMessage()));
             return;
         }
         if (!policy.elastic().on()) {
-            turn.answer(request, 409, reason("width: elastic jobs are off; a script that sets elastic = true switches them on"));
+            turn.answer(request, 409, JobStates.reason("width: elastic jobs are off; a script that sets elastic = true switches them on"));
             return;
         }
         resize(request, ref, resize, 0);
@@ -447,7 +429,7 @@
                 return;
             }
             if (found.status == null) {
-                turn.answer(request, 404, reason("no such job"));
+                turn.answer(request, 404, JobStates.reason("no such job"));
                 return;
             }
             try {
@@ -455,7 +437,7 @@
                 String never = r == null || r.cancelled() ? "the job is " + found.status.get("status").asText()
                         : r.spec.gang() ? "width: a gang's tasks start together" : older(r, resize);
                 if (never != null) {
-                    turn.answer(request, 409, reason(never));
+                    turn.answer(request, 409, JobStates.reason(never));
                 } else if (r.width != null && resize.number() != null && resize.number() == r.width.number()) {
                     turn.answer(request, 200, found.status); // asked again
                 } else {
@@ -490,7 +472,7 @@
         String key = JobRecord.openKey(ref);
         store.commit(new Txn().guard(key, open.version()).put(key, value), c -> {
             switch (c.result()) {
-                case DONE -> turn.answer(request, 200, openState(ref, value));
+                case DONE -> turn.answer(request, 200, JobStates.openState(ref, value));
                 case CONFLICT -> resize(request, ref, resize, races + 1);
                 default -> refuse(request, STORE);
             }
--- /dev/null
+++ b/src/main/java/org/beechhoist/reach/Ears.java
@@ -0,0 +1,97 @@
+package org.beechhoist.reach;
+
+import org.beechhoist.wire.Tick;
+
+/**
+ * Whether a machine hears. That it speaks proves nothing of that: its reports may arrive while answers and commands don't
+ * reach it. It is thought to hear until messages to it were lost twice with no proof in between.
+ *
+ * @param provedAt when it last proved to have heard something, or when it was first met
+ * @param missed messages to it that were lost since
+ * @param deafFrom when that became too many; null: it is thought to hear
+ * @param spokeAt when it last spoke, having missed something; null: it has not
+ */
+public record Ears(Tick provedAt, int missed, Tick deafFrom, Tick spokeAt) {
+    /** So many lost messages in a row: one may be lost on the way, or be late because this node was. */
+    public static final int ENOUGH = 2;
+    /** What was given to it and never seen there waits no longer than this. */
+    private static final long SETTLE_MS = 2000;
+    /** Where most of a zone is deaf, its machines are kept for so many leases. */
+    private static final int DARK_LEASES = 4;
+
+    public static Ears from(Tick now) {
+        return new Ears(now, 0, null, null);
+    }
+
+    /** Something that it can only know from us, or an answer to a question. */
+    public Ears proved(Tick now) {
+        return from(now);
+    }
+
+    /** A message of ours was lost, or its answer. */
+    public Ears missed(int times, Tick now) {
+        int sum = missed + times;
+        return new Ears(provedAt, sum, deafFrom != null ? deafFrom : sum >= ENOUGH ? now : null, spokeAt);
+    }
+
+    /** A new report of it has come. */
+    public Ears spoke(Tick now) {
+        return missed == 0 ? this : new Ears(provedAt, missed, deafFrom, now);
+    }
+
+    public boolean deaf() {
+        return deafFrom != null;
+    }
+
+    /** It speaks and does not hear; what neither speaks nor hears is silent, which is another matter. */
+    public boolean speaksOn() {
+        return deaf() && spokeAt != null && !spokeAt.before(deafFrom);
+    }
+
+    /**
+     * What its messages prove.
+     *
+     * @param same the session that its newest message so far was of
+     * @param afterOurAnswer its newest message so far was a report that we answered with 200
+     * @param next its message follows that one without another in between: it has turned to no other node
+     * @param newToken it has seen a token of ours that it had not seen then
+     * @param callsLost orders or questions to it that it may have counted, though we have no answer
+     * @param answeredWithinLease we answered a report of its last session so lately that its lease can't have ended if it heard
+     */
+    public record Message(boolean same, boolean afterOurAnswer, boolean next, boolean newToken, boolean callsLost, boolean answeredWithinLease) {
+    }
+
+    /** A new report has come. */
+    public Ears after(Message m, Tick now) {
+        if (m.newToken || m.same && m.afterOurAnswer && m.next) {
+            return proved(now);
+        }
+        Ears then = spoke(now);
+        if (!m.same) {
+            return m.answeredWithinLease ? then.missed(ENOUGH, now).spoke(now) : then;
+        }
+        // It turned to another node: our answer did not reach it. Calls that were lost have been counted by themselves.
+        return m.afterOurAnswer && !m.callsLost ? then.missed(1, now).spoke(now) : then;
+    }
+
+    /**
+     * Whether a machine that doesn't hear is to be returned for that.
+     *
+     * @param waiting tasks that were given to it and were never seen there: they can't begin elsewhere before
+     * @param seen tasks that it has shown
+     * @param dark most of its zone, or of all, is silent or does not hear: the network is the likelier cause
+     */
+    public boolean givenUp(int waiting, int seen, boolean dark, long leaseMs, Tick now) {
+        if (!deaf()) {
+            return false;
+        }
+        long unheard = now.since(provedAt);
+        if (dark) {
+            return unheard > DARK_LEASES * leaseMs; // what is there may hear again, and all come back at once
+        }
+        if (waiting > 0 && seen == 0) {
+            return now.since(deafFrom) > SETTLE_MS;
+        }
+        return speaksOn() && unheard > leaseMs + SETTLE_MS; // its worker has ended all that it had
+    }
+}
--- /dev/null
+++ b/src/main/java/org/beechhoist/reach/Standing.java
@@ -0,0 +1,55 @@
+package org.beechhoist.reach;
+
+import org.beechhoist.wire.HostReport;
+import org.beechhoist.wire.Baton;
+
+/**
+ * What a report may change. Copies come late, many times, out of order, from machines long returned; only two things tell them
+ * from the first sending: a newer message of the worker, and a token that no report can have had before this leadership began.
+ */
+public enum Standing {
+    /** It names a token of this leadership: it was made since, and nothing newer of the worker is known. */
+    OURS,
+    /** Nothing newer is known, and it may be of any age: it is the worker's first since this leadership began, or a copy. */
+    FIRST,
+    /** It may be of an earlier worker of the name, whose messages would seem newer: it is answered, and says nothing. */
+    GHOST,
+    /** A newer message is known, which came just now: the worker may still wait for the answer to this one. */
+    OVERTAKEN,
+    /** A newer message is known, and whoever sent this one has stopped waiting: a copy, or a worker that began anew. */
+    COPY;
+
+    /** How long a worker waits for an answer, and what clocks and the way may add. */
+    private static final long WAITS_MS = 4000 + 1000;
+
+    /**
+     * @param fresh whether it is newer than all that is known of the worker
+     * @param ghosts the newest token that an earlier worker of the name can have seen; none: there was no other
+     * @param first the first token of this leadership
+     * @param sinceNewestMs since the newest message of the worker came
+     */
+    public static Standing of(HostReport r, boolean fresh, Baton ghosts, Baton first, long sinceNewestMs) {
+        if (ghosts.value() > 0 && r.baton().compareTo(ghosts) <= 0) {
+            return GHOST;
+        }
+        if (fresh) {
+            return r.baton().compareTo(first) >= 0 ? OURS : FIRST;
+        }
+        return sinceNewestMs <= WAITS_MS ? OVERTAKEN : COPY;
+    }
+
+    /** Whether a 200 to it may renew the worker's lease. */
+    public boolean mayRenew() {
+        return this != COPY;
+    }
+
+    /** Whether it says anything of the machine as it is now: its notice, that it is there, that its silence is over. */
+    public boolean current() {
+        return this == OURS;
+    }
+
+    /** Whether it is held against the records. */
+    public boolean tells() {
+        return this == OURS || this == FIRST;
+    }
+}
--- a/src/main/java/org/beechhoist/store/Placement.java
+++ b/src/main/java/org/beechhoist/store/Placement.java
@@ -30,6 +30,8 @@
     public boolean recovered;
     /** When a report first showed it running; null before. */
     public Tick running;
+    /** A report has shown it, in whatever state. */
+    public boolean seen;
     public boolean killSent;
     /** When its room is expected to be free, for it is to go; 0: it stays. */
     public long leavesAt;
--- a/src/main/java/org/beechhoist/store/StoreClient.java
+++ b/src/main/java/org/beechhoist/store/StoreClient.java
@@ -24,7 +24,7 @@
 
     /** What a read found: {@code item} is null for 404. Where {@code known} is false nothing was learnt. */
     public record Read(boolean known, Item item) {
-        static final Read UNKNOWN = new Read(false, null);
+        public static final Read UNKNOWN = new Read(false, null);
     }
 
     /** One page of a listing, or null items where it failed. */
--- a/src/test/java/org/beechhoist/sim/World.java
+++ b/src/test/java/org/beechhoist/sim/World.java
@@ -145,6 +145,11 @@
         /** Until when workers, the state service, or anybody, can't reach it or be reached from it. */
         private long workersCutUntil;
         private long stateCutUntil;
+        private long peersCutUntil;
+        /** Whether calls to the state service fail at once while it is cut, instead of hanging. */
+        private boolean cutRefuses;
+        private Predicate<Effect> crashAt;
+        private long backMs;
 
         Node(int index) {
             this.index = index;
@@ -230,9 +235,18 @@
                     effects.addFirst(e);
                     waiting.addFirst(() -> carryOut(effects, decidedAt));
                     frozen++;
+                    trouble(freezeMs);
                     freeze(freezeMs);
                     return;
                 }
+                if (crashAt != null && crashAt.test(e)) {
+                    // It ends just after this step: what it sent is on its way, and nobody is there for the answer.
+                    crashAt = null;
+                    crashed++;
+                    effects.clear();
+                    long back = backMs;
+                    later(0, () -> crash(index, back));
+                }
                 if (fingerprinted) {
                     fingerprint = 31 * (31 * fingerprint + now) + e.toString().hashCode();
                 }
@@ -311,12 +325,16 @@
 
     /** A machine that is up, and its worker's reporting. */
     private final class Machine {
-        private final Worker worker;
+        private Worker worker;
         private boolean gone;
         private long cutUntil;
         private long hangUntil;
+        /** Until when its reports arrive, while answers and commands don't reach it. */
+        private long deafUntil;
         private int target;
         private boolean reporting;
+        /** Counts restarts; answers to a worker that is no more find nobody. */
+        private int life;
         private long nextReport;
         private final Map<Node, List<Runnable>> held = new LinkedHashMap<>();
 
@@ -332,6 +350,10 @@
         boolean cut() {
             return now < cutUntil || now < hangUntil;
         }
+
+        boolean deaf() {
+            return now < deafUntil;
+        }
     }
 
     private record Event(long at, long order, Runnable action) {
@@ -356,6 +378,8 @@
         final long submittedAt;
         long acceptedAt = -1;
         private boolean asked;
+        /** When the first of its questions was asked that have not been answered since; -1: the last one was. */
+        private long quietSince = -1;
         private long cancelToldAt = -1;
         String told;
         private long toldAt;
@@ -392,8 +416,16 @@
     final Toll toll = new Toll();
     /** Zones that are cut off from everything, and until when. */
     private final Map<String, Long> zoneCuts = new HashMap<>();
-    /** How often a node stood still in the middle of a step. */
+    /** How often a node stood still, or ended, in the middle of a step. */
     int frozen;
+    int crashed;
+    /** Copies of reports that come late, and launches that were given to machines that are deaf or gone. */
+    final Copies copies = new Copies();
+    /** When the last trouble so far is over. */
+    private long calmFrom;
+    /** The longest time after the troubles in which no question about one job was answered. */
+    long longestUnansweredMs;
+    String longestUnanswered;
     /** Chance that the cloud does what it is asked and the answer is lost, or that it does it up to a minute late. */
     double cloudTrouble;
     /** The state service's answers take up to this long. */
@@ -624,6 +656,9 @@
         boolean late = trouble && random.nextBoolean();
         long delay = late ? 3000 + random.nextInt(60_000) : there;
         if (now < from.stateCutUntil || cutOff(from)) {
+            if (from.cutRefuses) {
+                later(1, () -> back.accept(Outcome.NOT_SENT));
+            }
             return;
         }
         later(delay, () -> {
@@ -705,6 +740,9 @@
     private void toHost(Node from, Effect.Call c, Consumer<Outcome> back, long there) {
         Machine m = machines.get(c.address());
         if (m == null || m.gone) {
+            if (!c.path().equals("/show")) {
+                copies.toGone(c.body());
+            }
             return; // silent: no power
         }
         boolean lost = random.nextDouble() < orderTrouble;
@@ -717,8 +755,11 @@
                 }
             }
         };
+        if (m.deaf() && !c.path().equals("/show")) {
+            copies.toDeaf(c.body(), now);
+        }
         later(lost ? 500 + random.nextInt(60_000) : there, () -> {
-            if (held(m, from)) {
+            if (held(m, from) || m.deaf()) {
                 m.hold(from, deliver);
             } else {
                 deliver.run();
@@ -728,7 +769,7 @@
 
     private void tell(Node from, PeerState s) {
         for (Node n : nodes) {
-            boolean filtered = now < peersCutUntil || cutOff(from) || cutOff(n);
+            boolean filtered = now < Math.max(peersCutUntil, Math.max(from.peersCutUntil, n.peersCutUntil)) || cutOff(from) || cutOff(n);
             if (n != from && !filtered) {
                 int then = n.life;
                 later(1, () -> {
@@ -742,9 +783,58 @@
 
     /** A packet filter between controllers only. */
     void cutPeers(long forMs) {
+        trouble(forMs);
         peersCutUntil = now + forMs;
     }
 
+    /** The node loses the state service and the other controllers, but not its workers; calls hang, or are refused. */
+    void isolate(int node, boolean refuses, long forMs) {
+        trouble(forMs);
+        nodes[node].cutRefuses = refuses;
+        nodes[node].stateCutUntil = now + forMs;
+        nodes[node].peersCutUntil = now + forMs;
+    }
+
+    /** Something is wrong for so long; what users are not told meanwhile is not counted. */
+    void trouble(long forMs) {
+        calmFrom = Math.max(calmFrom, now + forMs);
+    }
+
+    /** A machine's reports arrive, but answers and commands don't reach it; what was held is delivered at once when it is over. */
+    void deafen(Predicate<String> zone, double share, long forMs) {
+        trouble(forMs);
+        for (Machine m : machines.values()) {
+            if (!m.gone && zone.test(m.worker.zone) && random.nextDouble() < share) {
+                m.deafUntil = now + forMs;
+            }
+        }
+    }
+
+    /** One machine by its name. */
+    void deafen(String host, long forMs) {
+        trouble(forMs);
+        machines.get(host).deafUntil = now + forMs;
+    }
+
+    /** A machine stops and is back at once, with its name and address and a worker that knows nothing. */
+    String restartMachine() {
+        Machine m = any();
+        if (m == null) {
+            return null;
+        }
+        for (TaskId t : m.worker.onMachine(now)) {
+            toll.ended(t, Worker.End.GONE);
+        }
+        m.worker.die();
+        Worker w = m.worker;
+        m.worker = new Worker(w.name, w.address, w.type, w.zone, w.spot, Math.round(1000 * scale.extent.leaseS), now, this);
+        m.reporting = false;
+        m.life++;
+        m.nextReport = now + 100;
+        m.held.clear();
+        return w.name;
+    }
+
     private static JsonNode copy(JsonNode n) {
         return n == null ? null : n.deepCopy();
     }
@@ -782,7 +872,7 @@
         m.worker.tick(now);
         if (!m.held.isEmpty()) {
             for (Node n : nodes) {
-                if (m.held.containsKey(n) && !held(m, n)) {
+                if (m.held.containsKey(n) && !held(m, n) && !m.deaf()) {
                     m.held.remove(n).forEach(Runnable::run);
                 }
             }
@@ -799,9 +889,11 @@
         long sent = now;
         long shift = m.worker.shift();
         Node node = nodes[m.target];
+        copies.of(this, body);
+        int life = m.life;
         boolean[] over = new boolean[1];
         Consumer<Effect.Answer> answer = a -> {
-            if (over[0] || m.gone) {
+            if (over[0] || m.gone || life != m.life) {
                 return;
             }
             over[0] = true;
@@ -826,8 +918,9 @@
                     JsonNode copied = copy(a.body());
                     Effect.Answer back = new Effect.Answer(0, a.status(), copied, 0);
                     // An answer that meets a cut comes after it; the worker has given up by then or takes it.
+                    copies.answered(m.deaf(), copied, now);
                     later(1 + draw(3), () -> {
-                        if (held(m, node)) {
+                        if (held(m, node) || m.deaf()) {
                             m.hold(node, () -> answer.accept(back));
                         } else {
                             answer.accept(back);
@@ -845,6 +938,14 @@
         });
     }
 
+    /** A copy of an old report reaches a node; nobody waits for the answer. */
+    void copy(byte[] report) {
+        Node n = nodes[random.nextInt(nodes.length)];
+        if (n.core != null) {
+            n.request("POST", "/checkin", report, a -> { });
+        }
+    }
+
     @Override
     public JobSpec job(String ref) {
         UserJob j = jobs.get(ref);
@@ -1093,6 +1194,7 @@
             if (a != null && a.status() == 200 && j.spec.ref().text().equals(oldAnswerFor)) {
                 ((ObjectNode) a.body()).put("status", "running");
             }
+            answered(j, a, asked);
             judge(j, a, asked);
             if (j.accepted && a != null && a.status() == 404) {
                 broken("forgotten", j.spec.ref() + " is answered 404");
@@ -1101,6 +1203,26 @@
         });
     }
 
+    /** Nobody is forgotten: once all troubles are over, some question about each job is answered within 75 s, however others fare. */
+    private void answered(UserJob j, Effect.Answer a, long asked) {
+        if (stateTrouble > 0 || orderTrouble > 0 || cloudTrouble > 0) {
+            trouble(0);
+        }
+        if (a != null && (a.status() == 200 || a.status() == 404)) {
+            j.quietSince = -1;
+            return;
+        }
+        j.quietSince = j.quietSince < 0 ? asked : j.quietSince;
+        long quiet = now - Math.max(j.quietSince, calmFrom);
+        if (j.accepted && quiet > longestUnansweredMs) {
+            longestUnansweredMs = quiet;
+            longestUnanswered = j.spec.ref().text();
+        }
+        if (j.accepted && !j.asked && quiet > 75_000) {
+            broken("forgotten", "no question about " + j.spec.ref() + " was answered for " + quiet + " ms");
+        }
+    }
+
     private void pollNow(UserJob j) {
         pollOnce(j, a -> {
             boolean over = "done".equals(j.told) || "cancelled".equals(j.told);
@@ -1181,6 +1303,7 @@
     // ---- faults ----
 
     void crash(int node, long forMs) {
+        trouble(forMs);
         if (nodes[node].core != null) {
             nodes[node].kill();
             later(forMs, () -> nodes[node].boot());
@@ -1188,17 +1311,20 @@
     }
 
     void stateOutage(long forMs) {
+        trouble(forMs);
         state.outage(now, true);
         later(forMs, () -> state.outage(now, false));
     }
 
     void refuse(int node, long forMs) {
+        trouble(forMs);
         nodes[node].refusedByState = true;
         later(forMs, () -> nodes[node].refusedByState = false);
     }
 
     /** Machines rented meanwhile boot so much longer or shorter, and fail to so often. */
     void bootTrouble(double times, double fails, long forMs) {
+        trouble(forMs);
         cloud.bootTimes = times;
         cloud.bootFails = fails;
         later(forMs, () -> {
@@ -1213,6 +1339,7 @@
     }
 
     void cloudOutage(long forMs) {
+        trouble(forMs);
         cloud.out = true;
         later(forMs, () -> cloud.out = false);
     }
@@ -1223,6 +1350,7 @@
     }
 
     void cutMachine(long forMs) {
+        trouble(forMs);
         Machine m = any();
         if (m != null) {
             m.cutUntil = now + forMs;
@@ -1230,6 +1358,7 @@
     }
 
     void hangMachine(long forMs) {
+        trouble(forMs);
         Machine m = any();
         if (m != null) {
             m.hangUntil = now + forMs;
@@ -1255,6 +1384,7 @@
 
     /** A zone is cut off from everything and goes on inside; what is on its way is held back and comes at once after it. */
     void cutZone(String zone, long forMs) {
+        trouble(forMs);
         zoneCuts.put(zone, now + forMs);
     }
 
@@ -1264,14 +1394,18 @@
 
     /** Workers can't reach the node, nor it them. */
     void cutWorkers(int node, long forMs) {
+        trouble(forMs);
         nodes[node].workersCutUntil = now + forMs;
     }
 
     void cutState(int node, long forMs) {
+        nodes[node].cutRefuses = false;
+        trouble(forMs);
         nodes[node].stateCutUntil = now + forMs;
     }
 
     void freeze(int node, long forMs) {
+        trouble(forMs);
         nodes[node].freeze(forMs);
     }
 
@@ -1280,6 +1414,39 @@
         nodes[node].freezeAt(step, forMs);
     }
 
+    /** The node ends just after its next step of the kind, and is back so much later. */
+    void crashAt(int node, Predicate<Effect> step, long backMs) {
+        nodes[node].crashAt = step;
+        nodes[node].backMs = backMs;
+    }
+
+    void noCrash() {
+        for (Node n : nodes) {
+            n.crashAt = null;
+        }
+    }
+
+    /** A request to one node. */
+    void at(int node, String method, String path, byte[] body, Consumer<Effect.Answer> then) {
+        nodes[node].request(method, path, body, then);
+    }
+
+    /** What some machine would report now. */
+    byte[] anyReport() {
+        return Codec.encode(any().worker.report());
+    }
+
+    /** The machines that are up, by name. */
+    List<String> machineNames() {
+        return machines.values().stream().filter(m -> !m.gone).map(m -> m.worker.name).toList();
+    }
+
+    /** Tasks on the machine now. */
+    List<TaskId> on(String host) {
+        Machine m = machines.get(host);
+        return m == null || m.gone ? List.of() : m.worker.onMachine(now);
+    }
+
     /** What somebody else writes to the state service. */
     void write(String key, JsonNode value) {
         ObjectNode txn = Codec.map();
