The largest jobs of each class keep their half and begin within four minutes; trial of faults

Cause: triage leaves the largest behind first, and what had missed its promises could wait 300 s, and again 300 s. In the simulation at 1.2 to 1.3 times what machines do the largest tenth waited 390 to 494 s for its first task. Change: groups of size beside class and team in ledger, floor and triage; the first part of a job of which nothing has begun goes first; services count; FaultsTrial with planted defects.

--- a/src/main/java/org/beechhoist/core/Job.java
+++ b/src/main/java/org/beechhoist/core/Job.java
@@ -56,8 +56,13 @@
     Tick lastProgress;
     /** Whether it fits into its team's guarantee together with the team's earlier open jobs. */
     boolean guaranteed;
-    /** Whether it goes first, for its class or team is below its half. */
+    /** Whether it goes first, for its class, its team or its class's largest are below their half. */
     boolean lifted;
+    /** Tasks of it that go first, for nothing of it has begun for long; none is to be stopped while it is {@link #aged}. */
+    int firstPart;
+    boolean aged;
+    /** What it counts for: its class, its team, and its class's largest; null until it is first asked. */
+    Set<String> groups;
     /** Whether it is left behind under overload, so that others are in time. */
     boolean behind;
 
@@ -87,7 +92,7 @@
 
     /** Whether its tasks may have the other job's stopped. */
     boolean outranks(Job other) {
-        if (other.lifted) {
+        if (other.lifted || other.aged) {
             return false; // it would be lifted again, and stopped again
         }
         int urgency = spec().urgency().compareTo(other.spec().urgency());
@@ -105,6 +110,11 @@
                 && (failedOn.size() >= SUSPECT_MACHINES && record.failures >= SUSPECT_FAILURES || record.failures >= SUSPECT_BEFORE);
     }
 
+    /** Whether something of it has begun. */
+    boolean begun() {
+        return !record.live.isEmpty() || record.done.size() > 0;
+    }
+
     /** How many of its tasks may be placed now beside those that are. */
     int mayTry(int waiting) {
         return suspect() ? Math.min(waiting, record.live.isEmpty() ? 1 : 0) : waiting;
--- a/src/main/java/org/beechhoist/core/Leader.java
+++ b/src/main/java/org/beechhoist/core/Leader.java
@@ -140,10 +140,11 @@
         this.schedules = policy.cron().on()
                 ? new Schedules(turn, settings, store, election, requests, writes, book, loading, users, onceKeys) : null;
         this.notes = policy.fleetNotes() ? new FleetNotes(turn, settings, store, election, requests, writes, book) : null;
-        this.floor = policy.servedFloor() ? new ServedFloor(turn, settings, store, election, requests, writes, book, estimates, ordering) : null;
+        this.floor = policy.servedFloor() ? new ServedFloor(turn, settings, store, election, requests, writes, book, estimates, ordering,
+                h -> types.get(h.type) == null ? 0 : types.get(h.type).cpus()) : null;
         this.overload = policy.triage()
                 ? new Overload(turn, settings, types, book, estimates, ordering, admission, provisioner.renting(),
-                () -> floor == null ? Map.of() : floor.shares()) : null;
+                () -> floor == null ? Map.of() : floor.shares(), j -> floor == null ? ServedFloor.groups(j.spec()) : floor.groups(j)) : null;
     }
 
     void begin() {
--- a/src/main/java/org/beechhoist/core/Ordering.java
+++ b/src/main/java/org/beechhoist/core/Ordering.java
@@ -9,6 +9,7 @@
 import java.util.Set;
 import org.beechhoist.config.Policy;
 import org.beechhoist.config.Settings;
+import org.beechhoist.floor.Aged;
 import org.beechhoist.wire.JobRef;
 import org.beechhoist.wire.JobSpec;
 
@@ -16,6 +17,8 @@
 final class Ordering {
     /** How long a job may wait that no objective speaks for, or none any more. */
     private static final long NO_OBJECTIVE_MS = 300_000;
+    /** Rooms are not free to the second that the plan says. */
+    private static final long BEGIN_MARGIN_MS = 30_000;
     private static final int FIRST = -1;
     private static final int LAST = Integer.MAX_VALUE;
     /** A job that is late by less than this may still be in time, for lengths are guesses. */
@@ -37,8 +40,13 @@
         this.estimates = estimates;
     }
 
-    /** When the job's waiting tasks should begin, for the first of its objectives that can still be met. */
+    /** When the job's waiting tasks should begin, for the first of its objectives that can still be met; the largest too begin in four minutes. */
     long latestStart(Job j) {
+        long latest = objective(j);
+        return j.begun() ? latest : stillOpen(latest, j.submitted.ms() + Aged.BEGUN_MS - BEGIN_MARGIN_MS);
+    }
+
+    private long objective(Job j) {
         long length = estimates.lengthMs(j.spec());
         long from = j.submitted.ms();
         long latest = Math.max(from, turn.now().ms()) + NO_OBJECTIVE_MS;
@@ -67,7 +75,7 @@
     }
 
     boolean objectiveOpen(Job j) {
-        return latestStart(j) < Math.max(j.submitted.ms(), turn.now().ms()) + NO_OBJECTIVE_MS;
+        return objective(j) < Math.max(j.submitted.ms(), turn.now().ms()) + NO_OBJECTIVE_MS;
     }
 
     private long stillOpen(long latest, long candidate) {
--- a/src/main/java/org/beechhoist/core/Overload.java
+++ b/src/main/java/org/beechhoist/core/Overload.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.Function;
 import java.util.function.Supplier;
 import org.beechhoist.config.Settings;
 import org.beechhoist.floor.Share;
@@ -36,11 +37,13 @@
     private final Admission admission;
     private final Renting renting;
     private final Supplier<Map<String, Share>> lately;
+    private final Function<Job, Set<String>> groups;
     private long next;
     private Set<JobRef> behind = Set.of();
 
     Overload(Turn turn, Settings settings, Types types, Book book, Estimates estimates, Ordering ordering, Admission admission, Renting renting,
-            Supplier<Map<String, Share>> lately) {
+            Supplier<Map<String, Share>> lately, Function<Job, Set<String>> groups) {
+        this.groups = groups;
         this.lately = lately;
         this.turn = turn;
         this.settings = settings;
@@ -67,16 +70,16 @@
                 continue;
             }
             JobSpec s = j.spec();
-            boolean more = grows.computeIfAbsent(s.hostTypes() + "/" + s.zone() + "/" + s.spot() + "/" + s.cpus() + "/" + s.memGb(), k -> renting.mayGrow(s));
+            boolean more = grows.computeIfAbsent(s.hostTypes() + "/" + s.zone() + "/" + s.spot() + "/" + s.cpus() + "/" + s.gpus() + "/" + s.memGb(), k -> renting.mayGrow(s));
             Long due = ordering.overBy(j);
             boolean late = due == null && ordering.hasEnd(s);
             if (late && !more) {
                 missed.add(j);
             }
             overloaded |= !more;
-            boolean begun = !j.record.live.isEmpty() || j.record.done.size() > 0;
+            boolean begun = j.begun();
             long length = estimates.lengthMs(s);
-            demands.add(new Demand(j.ref(), ServedFloor.groups(s), j.lifted ? -1 : Ordering.usualRank(j), s.team(), s.cpus() * length * j.record.waitingCount(), length,
+            demands.add(new Demand(j.ref(), groups.apply(j), j.lifted ? -1 : Ordering.usualRank(j), s.team(), s.cpus() * length * j.record.waitingCount(), length,
                     due == null ? Demand.NO_DUE : due, late, more || begun || j.lifted));
         }
         Set<JobRef> now = !overloaded ? Set.of() : Triage.behind(demands, means());
--- a/src/main/java/org/beechhoist/core/Planner.java
+++ b/src/main/java/org/beechhoist/core/Planner.java
@@ -176,11 +176,16 @@
                 next.use(j.spec().team(), end, j.spec().cpus(), j.spec().gpus());
             }
         }
+        for (Job j : order) {
+            if (j.firstPart > 0) {
+                next.place(entry(j, Math.min(j.firstPart, j.mayTry(elastic.sure(j))), 0));
+            }
+        }
         for (Job j : order) {
             if (j.spec().gang() && !j.record.live.isEmpty()) {
                 continue; // what is left of a gang ends first, then all of it starts anew
             }
-            int sure = j.mayTry(elastic.sure(j));
+            int sure = j.mayTry(elastic.sure(j)) - j.firstPart;
             if (sure > 0) {
                 next.place(entry(j, sure, ordering.patience(j)));
             }
--- a/src/main/java/org/beechhoist/core/ServedFloor.java
+++ b/src/main/java/org/beechhoist/core/ServedFloor.java
@@ -7,8 +7,11 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.ToDoubleFunction;
 import org.beechhoist.config.Settings;
+import org.beechhoist.floor.Aged;
 import org.beechhoist.floor.Floor;
+import org.beechhoist.floor.Largest;
 import org.beechhoist.floor.Ledger;
 import org.beechhoist.floor.Share;
 import org.beechhoist.store.Budget;
@@ -41,6 +44,8 @@
     private final Estimates estimates;
     private final Ordering ordering;
     private final Ledger ledger = new Ledger();
+    private final Largest largest = new Largest();
+    private final ToDoubleFunction<Host> cpus;
     private final Set<JobRef> counted = new HashSet<>();
     private Set<JobRef> lifted = Set.of();
     /** Open jobs whose time was up before are in the ledger already. */
@@ -49,7 +54,8 @@
     private Tick nextWrite = Tick.ZERO;
 
     ServedFloor(Turn turn, Settings settings, StoreClient store, Election election, Budget requests, Budget writes, Book book, Estimates estimates,
-            Ordering ordering) {
+            Ordering ordering, ToDoubleFunction<Host> cpus) {
+        this.cpus = cpus;
         this.ordering = ordering;
         this.turn = turn;
         this.settings = settings;
@@ -64,6 +70,7 @@
     /** A new leadership begins: what was counted before is read. */
     void begin() {
         ledger.clear();
+        largest.clear();
         counted.clear();
         lifted = Set.of();
         known = false;
@@ -96,10 +103,11 @@
             countedUntilWallMs = turn.wallMs();
             if (r.item() != null) {
                 try {
-                    countedUntilWallMs = ServedRecord.read(r.item().value(), ledger);
+                    countedUntilWallMs = ServedRecord.read(r.item().value(), ledger, largest);
                 } catch (Malformed e) {
                     LOG.warn("what was served before can't be read, it is counted anew: {}", e.getMessage());
                     ledger.clear();
+                    largest.clear();
                 }
             }
             known = true;
@@ -116,6 +124,20 @@
         return Set.of("class:" + s.jobClass(), "team:" + s.team());
     }
 
+    /** The same, and its class's largest where it is one of them. */
+    Set<String> groups(Job j) {
+        if (!known) {
+            return groups(j.spec());
+        }
+        if (j.groups == null) {
+            JobSpec s = j.spec();
+            Set<String> all = new HashSet<>(groups(s));
+            all.addAll(largest.meet(s.jobClass(), s.tasks() * s.cpus() * Math.max(1, s.estimateS())));
+            j.groups = Set.copyOf(all);
+        }
+        return j.groups;
+    }
+
     /** The job is over, by its tasks. */
     void ended(Job j) {
         if (known && !j.record.cancelled() && counted.add(j.ref())) {
@@ -125,7 +147,7 @@
     }
 
     private void count(Job j, boolean served) {
-        groups(j.spec()).forEach(g -> ledger.count(g, turn.wallMs(), served));
+        groups(j).forEach(g -> ledger.count(g, turn.wallMs(), served));
     }
 
     /** Counts whose time is up, decides who goes first, and stores the counts now and then. */
@@ -142,35 +164,74 @@
         }
         for (Job j : book.jobs()) {
             long limit = limitWallMs(j);
-            if (j.record.cancelled() || j.spec().service()) {
+            if (j.record.cancelled()) {
                 continue;
             }
+            if (j.spec().service()) {
+                service(j, limit);
+                continue;
+            }
+            groups(j);
             if (turn.wallMs() > limit) {
                 if (counted.add(j.ref()) && limit > countedUntilWallMs) {
                     count(j, false);
                 }
             } else if (j.lifted || j.record.waitingCount() > 0 && (j.guaranteed || guaranteed.stream().allMatch(j.spec().team()::equals))) {
                 long ends = turn.wallMs() + estimates.lengthMs(j.spec());
-                waiting.add(new Floor.Waiting(j.ref(), groups(j.spec()), j.lifted, ends, limit));
+                waiting.add(new Floor.Waiting(j.ref(), groups(j), j.lifted, ends, limit));
             }
         }
         Set<JobRef> before = lifted;
         lifted = Floor.lifted(ledger.shares(turn.wallMs()), waiting);
+        Map<JobRef, Integer> aged = aged();
         for (Job j : book.jobs()) {
+            Integer part = aged.get(j.ref());
+            if (part != null && !j.aged) {
+                LOG.info("{} tasks of {} go first: nothing of it has begun for {} s", part, j.ref(), (turn.wallMs() - j.record.submittedWallMs) / 1000);
+            }
+            j.aged = part != null;
+            j.firstPart = part == null ? 0 : part;
             j.lifted = lifted.contains(j.ref());
             if (j.lifted && !before.contains(j.ref())) {
-                LOG.info("{} goes first: its class {} or team {} is below its half", j.ref(), j.spec().jobClass(), j.spec().team());
+                LOG.info("{} goes first: its class {}, team {} or class's largest are below its half", j.ref(), j.spec().jobClass(), j.spec().team());
             }
         }
         write();
     }
 
+    /** A service is served once all of it runs in time; how long it then goes on is its user's matter. */
+    private void service(Job j, long limit) {
+        boolean runs = j.record.live.size() == j.spec().tasks() && j.record.live.values().stream().allMatch(p -> p.running != null);
+        boolean late = turn.wallMs() > limit;
+        if ((runs || late) && limit > countedUntilWallMs && counted.add(j.ref())) {
+            count(j, !late);
+        }
+    }
+
+    private Map<JobRef, Integer> aged() {
+        List<Aged.Waiting> waiting = new ArrayList<>();
+        double all = 0;
+        for (Host h : book.hosts()) {
+            all += h.up && !h.returning ? cpus.applyAsDouble(h) : 0;
+        }
+        for (Job j : book.jobs()) {
+            if (!j.record.cancelled() && !j.suspect() && j.notBefore.ms() <= turn.now().ms() && (j.aged || !j.begun())) {
+                long first = j.record.live.values().stream().mapToLong(p -> turn.now().since(p.since)).max().orElse(0);
+                JobSpec s = j.spec();
+                boolean whole = s.gang() || s.service() || s.sameZone() || s.apart();
+                waiting.add(new Aged.Waiting(j.ref(), j.record.submittedWallMs, groups(j).stream().anyMatch(Largest::ofSize), whole, s.tasks(),
+                        j.record.live.size() + j.record.done.size(), first, j.record.waitingCount(), s.cpus()));
+            }
+        }
+        return Aged.first(waiting, all, turn.wallMs());
+    }
+
     private void write() {
         if (turn.now().before(nextWrite) || writes.available(turn.now()) < PLENTY * writes.most()) {
             return;
         }
         nextWrite = turn.now().plusMs(WRITE_EVERY_MS);
-        Txn txn = election.guarded().put(ServedRecord.KEY, ServedRecord.toNode(ledger, turn.wallMs(), settings.stateLimits().valueBytes()));
+        Txn txn = election.guarded().put(ServedRecord.KEY, ServedRecord.toNode(ledger, largest, turn.wallMs(), settings.stateLimits().valueBytes()));
         requests.take(turn.now(), 1);
         writes.take(turn.now(), 1);
         store.commit(txn, c -> { }); // the next one says it again
--- /dev/null
+++ b/src/main/java/org/beechhoist/floor/Aged.java
@@ -0,0 +1,73 @@
+package org.beechhoist.floor;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import org.beechhoist.wire.JobRef;
+
+/**
+ * Of which jobs a first part goes before all others, because nothing of them has begun for long: the largest too have to begin
+ * within four minutes, whoever else is more urgent. Only a part, for what triage leaves behind is not to cost those that can be
+ * in time; together no more than a share of the machines, so that urgent work never waits for many of them.
+ */
+public final class Aged {
+    /** By when a job is to have begun. */
+    public static final long BEGUN_MS = 240_000;
+    /** From when on a job's first part goes first; a large one needs more machines to come free. */
+    private static final long FROM_MS = 180_000;
+    private static final long LARGE_FROM_MS = 140_000;
+    /** A start counts that nothing stops for half a minute. */
+    private static final long SAFE_MS = 40_000;
+    /** One task of so many begins early: what has begun goes on in its own turn. */
+    private static final int ONE_OF = 8;
+    /** Of all CPUs, what such parts may ask for together; one of them always may. */
+    private static final double SHARE = 0.25;
+
+    /**
+     * An open job of which nothing has begun, or only what went first for this reason.
+     *
+     * @param sinceMs when it was submitted
+     * @param large whether it is one of its class's largest half
+     * @param whole whether its tasks need one another or a place together: all of it goes first, or nothing
+     * @param begun tasks on machines or done, the first {@code begunMs} ago
+     * @param cpus of one task
+     */
+    public record Waiting(JobRef job, long sinceMs, boolean large, boolean whole, int tasks, int begun, long begunMs, int waiting, double cpus) {
+        private long fromMs() {
+            return sinceMs + (large ? LARGE_FROM_MS : FROM_MS);
+        }
+
+        private int part() {
+            int first = whole ? tasks : Math.max(1, tasks / ONE_OF);
+            return Math.max(0, Math.min(waiting, first - begun));
+        }
+    }
+
+    private Aged() {
+    }
+
+    /** How many tasks of which jobs go first; none of a job that is named may be stopped for another's sake. */
+    public static Map<JobRef, Integer> first(List<Waiting> waiting, double allCpus, long nowMs) {
+        Map<JobRef, Integer> out = new LinkedHashMap<>();
+        List<Waiting> old = new ArrayList<>();
+        for (Waiting w : waiting) {
+            if (nowMs >= w.fromMs() && (w.part() > 0 || w.begunMs < SAFE_MS)) {
+                old.add(w);
+            }
+        }
+        // Who has begun keeps what it has, and the oldest come first.
+        old.sort(Comparator.comparing((Waiting w) -> w.begun == 0).thenComparingLong(Waiting::fromMs).thenComparing(Waiting::job));
+        double taken = 0;
+        for (Waiting w : old) {
+            double cpus = w.part() * w.cpus;
+            if (taken > 0 && cpus > 0 && taken + cpus > SHARE * allCpus) {
+                break; // smaller ones that fit beside what goes first would keep it waiting for ever
+            }
+            out.put(w.job, w.part());
+            taken += cpus;
+        }
+        return out;
+    }
+}
--- a/src/main/java/org/beechhoist/floor/Floor.java
+++ b/src/main/java/org/beechhoist/floor/Floor.java
@@ -20,8 +20,11 @@
     public static final double FAR_ABOVE = 0.7;
     /** Fewer jobs say nothing of a group. */
     static final int LEAST_ASKED = 4;
+    static final int LEAST_LARGEST = 2;
     /** Of one group at a time: the rest of the room stays with whoever has it by urgency. */
     private static final int MOST_LIFTED = 8;
+    /** The same of a class's largest, each of which takes as much room as many others. */
+    private static final int MOST_LARGEST = 4;
 
     /**
      * An open job whose time is not up.
@@ -36,7 +39,7 @@
     private Floor() {
     }
 
-    /** Groups are named {@code kind:name}; only groups of one kind are held against one another. */
+    /** Groups are named {@code kind:name}; only groups of one kind are held against one another, and a class's largest against classes. */
     public static Set<JobRef> lifted(Map<String, Share> shares, List<Waiting> waiting) {
         Set<JobRef> out = new HashSet<>();
         List<Waiting> inTime = new ArrayList<>();
@@ -49,11 +52,11 @@
         }
         inTime.sort(Comparator.comparingLong(Waiting::limitMs).thenComparing(Waiting::job));
         shares.forEach((group, share) -> {
-            if (share.asked() < LEAST_ASKED || share.value() >= BEHIND || !anotherFarAbove(group, shares)) {
+            if (share.asked() < (Largest.ofSize(group) ? LEAST_LARGEST : LEAST_ASKED) || share.value() >= BEHIND || !anotherFarAbove(group, shares)) {
                 return;
             }
             long under = waiting.stream().filter(w -> w.lifted && w.groups.contains(group)).count();
-            long left = Math.min(MOST_LIFTED, needed(share)) - under;
+            long left = Math.min(Largest.ofSize(group) ? MOST_LARGEST : MOST_LIFTED, needed(share)) - under;
             for (Waiting w : inTime) {
                 if (left > 0 && w.groups.contains(group)) {
                     out.add(w.job);
@@ -65,7 +68,7 @@
     }
 
     private static boolean anotherFarAbove(String group, Map<String, Share> shares) {
-        String kind = group.substring(0, group.indexOf(':') + 1);
+        String kind = Largest.ofSize(group) ? "class:" : group.substring(0, group.indexOf(':') + 1);
         return shares.entrySet().stream().anyMatch(e -> e.getKey().startsWith(kind) && !e.getKey().equals(group)
                 && e.getValue().asked() >= LEAST_ASKED && e.getValue().value() >= FAR_ABOVE);
     }
--- a/src/main/java/org/beechhoist/plan/Plan.java
+++ b/src/main/java/org/beechhoist/plan/Plan.java
@@ -164,7 +164,7 @@
         String only = e.spec().sameZone() ? chooseZone(e, most) : null;
         int placed = e.spec().gang() ? placeTogether(e, most, only) : placeEach(e, most, only);
         if (placed < e.waiting()) {
-            unplaced.put(e.job(), e.waiting() - placed);
+            unplaced.merge(e.job(), e.waiting() - placed, Integer::sum);
         }
     }
 
--- a/src/main/java/org/beechhoist/store/ServedRecord.java
+++ b/src/main/java/org/beechhoist/store/ServedRecord.java
@@ -4,6 +4,7 @@
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.util.Map;
+import org.beechhoist.floor.Largest;
 import org.beechhoist.floor.Ledger;
 import org.beechhoist.floor.Share;
 import org.beechhoist.wire.Codec;
@@ -19,10 +20,21 @@
     }
 
     /** @param wallMs jobs whose time was up before are in it */
-    public static ObjectNode toNode(Ledger ledger, long wallMs, int mostBytes) {
+    public static ObjectNode toNode(Ledger ledger, Largest largest, long wallMs, int mostBytes) {
         ObjectNode n = Codec.map().put("v", VERSION).put("at", wallMs);
-        ObjectNode groups = n.putObject("groups");
         int bytes = 40;
+        ObjectNode sizes = n.putObject("sizes");
+        for (Map.Entry<String, long[]> e : largest.known().entrySet()) {
+            bytes += e.getKey().length() + 40;
+            if (bytes > mostBytes / 4) {
+                break;
+            }
+            ArrayNode row = sizes.putArray(e.getKey());
+            for (long from : e.getValue()) {
+                row.add(from);
+            }
+        }
+        ObjectNode groups = n.putObject("groups");
         for (Map.Entry<String, Map<Long, Share>> e : ledger.steps(wallMs).entrySet()) {
             bytes += e.getKey().length() + 8 + 24 * e.getValue().size();
             if (bytes > mostBytes) {
@@ -35,7 +47,7 @@
     }
 
     /** Adds what it says to the ledger; returns when it was written. */
-    public static long read(JsonNode n, Ledger into) throws Malformed {
+    public static long read(JsonNode n, Ledger into, Largest largest) throws Malformed {
         if (n == null || n.path("v").asInt() != VERSION || !n.path("groups").isObject()) {
             throw new Malformed("v: " + VERSION + " expected");
         }
@@ -50,6 +62,13 @@
                 into.add(e.getKey(), rows.get(i).asLong(), new Share(asked, served));
             }
         }
+        for (Map.Entry<String, JsonNode> e : n.path("sizes").properties()) {
+            long[] from = new long[e.getValue().size()];
+            for (int i = 0; i < from.length; i++) {
+                from[i] = Math.max(0, e.getValue().get(i).asLong());
+            }
+            largest.take(e.getKey(), from);
+        }
         return n.path("at").asLong();
     }
 }
--- a/src/main/java/org/beechhoist/triage/Demand.java
+++ b/src/main/java/org/beechhoist/triage/Demand.java
@@ -6,7 +6,7 @@
 /**
  * What an open job still asks for.
  *
- * @param groups its class and its team: of none of them more than half is left behind for another's sake
+ * @param groups its class, its team, and its class's largest where it is one: of none of them more than half is left behind for another's sake
  * @param rank whose work goes before whose, the lower first
  * @param cpuMs of its tasks that wait
  * @param lengthMs what one of them takes, its image included
--- a/src/main/java/org/beechhoist/triage/Triage.java
+++ b/src/main/java/org/beechhoist/triage/Triage.java
@@ -138,13 +138,13 @@
         }
     }
 
-    /** How much of their halves the class and the team still have without one more job; above the half does not count. */
+    /** How much of their halves a job's groups still have without one more job, on the mean; above the half does not count. */
     private double leftToIts(Set<String> groups) {
         double sum = 0;
         for (String g : groups) {
             int[] k = kept.get(g);
             sum += Math.min(HALF, (k[1] - 1.0) / k[0]);
         }
-        return Math.max(0, sum);
+        return Math.max(0, sum / groups.size());
     }
 }
--- a/src/test/java/org/beechhoist/arch/PackagesTest.java
+++ b/src/test/java/org/beechhoist/arch/PackagesTest.java
@@ -19,11 +19,11 @@
 
     @ArchTest
     static final ArchRule FLOOR_KNOWS_THE_WIRE = classes().that().resideInAPackage(ROOT + "floor")
-            .should().onlyDependOnClassesThat().resideInAnyPackage("java..", ROOT + "floor", ROOT + "wire");
+            .should().onlyDependOnClassesThat().resideInAnyPackage("java..", ROOT + "floor", ROOT + "wire", "org.HdrHistogram");
 
     @ArchTest
     static final ArchRule TRIAGE_KNOWS_THE_FLOOR = classes().that().resideInAPackage(ROOT + "triage")
-            .should().onlyDependOnClassesThat().resideInAnyPackage("java..", ROOT + "triage", ROOT + "floor", ROOT + "wire");
+            .should().onlyDependOnClassesThat().resideInAnyPackage("java..", ROOT + "triage", ROOT + "floor", ROOT + "wire", "org.HdrHistogram");
 
     @ArchTest
     static final ArchRule DECISIONS_READ_NO_CLOCK_AND_DRAW_NOTHING = noClasses().that()
--- a/src/test/java/org/beechhoist/sim/Copies.java
+++ b/src/test/java/org/beechhoist/sim/Copies.java
@@ -1,8 +1,11 @@
 package org.beechhoist.sim;
 
 import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.util.HashMap;
 import java.util.Map;
+import org.beechhoist.wire.Codec;
+import org.beechhoist.wire.Malformed;
 
 /** Late copies of workers' reports, and what is given in vain to machines that can't hear: kept from outside. */
 final class Copies {
@@ -11,6 +14,10 @@
     long leastMs = 2000;
     long mostMs = 90_000;
     int sent;
+    /** Planted: copies look as if they had been made just now; reports of machines that don't hear, as if they did. */
+    boolean takenForFresh;
+    boolean deafSeemToHear;
+    private final Map<String, Long> forged = new HashMap<>();
     /** Launches that were sent to machines that were deaf, or gone, at that moment; and how often the same one in a row. */
     int launchesToDeaf;
     int launchesToGone;
@@ -20,12 +27,26 @@
     void of(World w, byte[] report) {
         for (int i = 0; i < each; i++) {
             sent++;
-            w.later(leastMs + w.random.nextLong(mostMs - leastMs), () -> w.copy(report));
+            w.later(leastMs + w.random.nextLong(mostMs - leastMs), () -> w.copy(takenForFresh ? forged(w, report) : report));
+        }
+    }
+
+    /** The report with the newest token, and numbered as if it followed all others; what it says of tasks is as old as it is. */
+    byte[] forged(World w, byte[] report) {
+        return Codec.encode(seeming(w, report));
+    }
+
+    ObjectNode seeming(World w, byte[] report) {
+        try {
+            ObjectNode n = (ObjectNode) Codec.decodeMap(report);
+            return n.put("baton", w.token()).put("counter", forged.merge(n.path("host").asText(), 1_000_000L, (a, b) -> a + 1));
+        } catch (Malformed e) {
+            throw new IllegalStateException(e);
         }
     }
 
     /** Commands on their way to a machine that is deaf. */
-    void toDeaf(JsonNode body, long now) {
+    void toDeaf(JsonNode body) {
         launchesToDeaf += launches(body);
     }
 
@@ -34,7 +55,7 @@
     }
 
     /** An answer to a report, on its way to a machine that may be deaf. */
-    void answered(boolean deaf, JsonNode body, long now) {
+    void answered(boolean deaf, JsonNode body) {
         if (deaf && body != null) {
             launchesToDeaf += launches(body);
         }
--- a/src/test/java/org/beechhoist/sim/FaultsTest.java
+++ b/src/test/java/org/beechhoist/sim/FaultsTest.java
@@ -186,6 +186,31 @@
         assertEquals(200, answered[0], "it is ready again");
     }
 
+    // ---- planted ----
+
+    /** What the checks above look at is seen: a copy that is taken for fresh, and a machine that is thought to hear. */
+    @ParameterizedTest
+    @CsvSource({"true", "false"})
+    void plantedDefectsAreSeen(boolean copy) {
+        int seen = 0;
+        for (long seed = 1; seed <= 3; seed++) {
+            World w = world(30 + seed, 3, 10);
+            w.copies.each = copy ? 1 : 0;
+            w.copies.takenForFresh = copy;
+            w.copies.deafSeemToHear = !copy;
+            arrivals(w, 120_000);
+            try {
+                w.later(60_000, () -> w.loseMachines(copy ? 8 : 0));
+                w.later(60_000, () -> w.deafen(z -> true, copy ? 0 : 0.3, 60_000));
+                w.runUntil(240_000);
+                seen += w.copies.launchesToDeaf > 60 || w.copies.mostInARow > 2 || w.copies.launchesToGone > 12 || !w.unfinished().isEmpty() ? 1 : 0;
+            } catch (AssertionError rule) {
+                seen++;
+            }
+        }
+        assertTrue(seen > 0, "nothing was seen of it");
+    }
+
     // ---- back in the middle of an election ----
 
     /** Steps of an election and of what follows, after which a process may end. */
--- a/src/test/java/org/beechhoist/sim/World.java
+++ b/src/test/java/org/beechhoist/sim/World.java
@@ -756,10 +756,13 @@
             }
         };
         if (m.deaf() && !c.path().equals("/show")) {
-            copies.toDeaf(c.body(), now);
+            copies.toDeaf(c.body());
         }
         later(lost ? 500 + random.nextInt(60_000) : there, () -> {
-            if (held(m, from) || m.deaf()) {
+            if (m.deaf() && copies.deafSeemToHear) {
+                JsonNode seeming = copies.seeming(this, Codec.encode(m.worker.report()));
+                later(1, () -> back.accept(Outcome.answered(200, seeming)));
+            } else if (held(m, from) || m.deaf()) {
                 m.hold(from, deliver);
             } else {
                 deliver.run();
@@ -885,10 +888,11 @@
     private void report(Machine m) {
         m.reporting = true;
         m.nextReport = now + scale.reportMs * 3 / 4 + draw((int) scale.reportMs / 2);
-        byte[] body = Codec.encode(m.worker.report());
+        byte[] described = Codec.encode(m.worker.report());
         long sent = now;
         long shift = m.worker.shift();
         Node node = nodes[m.target];
+        byte[] body = m.deaf() && copies.deafSeemToHear ? copies.forged(this, described) : described;
         copies.of(this, body);
         int life = m.life;
         boolean[] over = new boolean[1];
@@ -918,7 +922,7 @@
                     JsonNode copied = copy(a.body());
                     Effect.Answer back = new Effect.Answer(0, a.status(), copied, 0);
                     // An answer that meets a cut comes after it; the worker has given up by then or takes it.
-                    copies.answered(m.deaf(), copied, now);
+                    copies.answered(m.deaf(), copied);
                     later(1 + draw(3), () -> {
                         if (held(m, node) || m.deaf()) {
                             m.hold(node, () -> answer.accept(back));
@@ -938,6 +942,13 @@
         });
     }
 
+    /** The leader's key's newest version, which is the token. */
+    long token() {
+        long[] out = new long[1];
+        state.handle(now, "GET", "/store/lead", null, r -> out[0] = r.body().path("lastTouch").asLong());
+        return out[0];
+    }
+
     /** A copy of an old report reaches a node; nobody waits for the answer. */
     void copy(byte[] report) {
         Node n = nodes[random.nextInt(nodes.length)];
