--- a/src/main/java/org/beechhoist/core/ServedFloor.java
+++ b/src/main/java/org/beechhoist/core/ServedFloor.java
@@ -215,11 +215,12 @@
             all += h.up && !h.returning ? cpus.applyAsDouble(h) : 0;
         }
         for (Job j : book.jobs()) {
-            if (!j.record.cancelled() && !j.suspect() && j.notBefore.ms() <= turn.now().ms() && (j.aged || !j.begun())) {
+            if (!j.record.cancelled() && !j.suspect() && j.notBefore.ms() <= turn.now().ms() && (j.aged || !j.begun())
+                    && groups(j).stream().anyMatch(Largest::ofSize)) {
                 long first = j.record.live.values().stream().mapToLong(p -> turn.now().since(p.since)).max().orElse(0);
                 JobSpec s = j.spec();
                 boolean whole = s.gang() || s.service() || s.sameZone() || s.apart();
-                waiting.add(new Aged.Waiting(j.ref(), j.record.submittedWallMs, groups(j).stream().anyMatch(Largest::ofSize), whole, s.tasks(),
+                waiting.add(new Aged.Waiting(j.ref(), j.record.submittedWallMs, whole, s.tasks(),
                         j.record.live.size() + j.record.done.size(), first, j.record.waitingCount(), s.cpus()));
             }
         }
--- a/src/main/java/org/beechhoist/floor/Aged.java
+++ b/src/main/java/org/beechhoist/floor/Aged.java
@@ -8,16 +8,15 @@
 import org.beechhoist.wire.JobRef;
 
 /**
- * Of which jobs a first part goes before all others, because nothing of them has begun for long: the largest too have to begin
- * within four minutes, whoever else is more urgent. Only a part, for what triage leaves behind is not to cost those that can be
- * in time; together no more than a share of the machines, so that urgent work never waits for many of them.
+ * Of which of the largest jobs a first part goes before all others, because nothing of them has begun for long: they too have to
+ * begin within four minutes, whoever else is more urgent. Only a part, for what triage leaves behind is not to cost those that can
+ * be in time (done for every job it cost a tenth of them); together no more than a share of the machines, so that urgent work never waits for many of them.
  */
 public final class Aged {
     /** By when a job is to have begun. */
     public static final long BEGUN_MS = 240_000;
-    /** From when on a job's first part goes first; a large one needs more machines to come free. */
-    private static final long FROM_MS = 180_000;
-    private static final long LARGE_FROM_MS = 140_000;
+    /** From when on a job's first part goes first. */
+    private static final long FROM_MS = 140_000;
     /** A start counts that nothing stops for half a minute. */
     private static final long SAFE_MS = 40_000;
     /** One task of so many begins early: what has begun goes on in its own turn. */
@@ -26,17 +25,16 @@
     private static final double SHARE = 0.25;
 
     /**
-     * An open job of which nothing has begun, or only what went first for this reason.
+     * One of its class's largest half, of which nothing has begun, or only what went first for this reason.
      *
      * @param sinceMs when it was submitted
-     * @param large whether it is one of its class's largest half
      * @param whole whether its tasks need one another or a place together: all of it goes first, or nothing
      * @param begun tasks on machines or done, the first {@code begunMs} ago
      * @param cpus of one task
      */
-    public record Waiting(JobRef job, long sinceMs, boolean large, boolean whole, int tasks, int begun, long begunMs, int waiting, double cpus) {
+    public record Waiting(JobRef job, long sinceMs, boolean whole, int tasks, int begun, long begunMs, int waiting, double cpus) {
         private long fromMs() {
-            return sinceMs + (large ? LARGE_FROM_MS : FROM_MS);
+            return sinceMs + FROM_MS;
         }
 
         private int part() {
