--- a/src/main/java/org/beechhoist/cli/CronCommands.java
+++ b/src/main/java/org/beechhoist/cli/CronCommands.java
@@ -158,10 +158,6 @@
         }
     }
 
-    private static int ask(Nodes nodes, String method, String path, ObjectNode body, String what) {
-        return UserCommands.run(() -> nodes.client().ask(method, path, body), what);
-    }
-
     /** Puts a table into service, or its new version. */
     @CommandLine.Command(name = "install", mixinStandardHelpOptions = true,
             description = "Install a cron table, or its next version: lines that stay go on where they were.")
@@ -179,7 +175,7 @@
             try {
                 String text = Files.readString(file);
                 CronTable.parse(table, text, 0);
-                return ask(nodes, "POST", "/v1/cron/" + table, Codec.map().put("text", text), table);
+                return UserCommands.ask(nodes, "POST", "/v1/cron/" + table, Codec.map().put("text", text), table);
             } catch (CronTable.Bad e) {
                 System.err.println("beechhoist: " + file + ": " + e.getMessage());
             } catch (IOException e) {
@@ -202,7 +198,7 @@
 
         @Override
         public Integer call() {
-            return ask(nodes, "GET", table == null ? "/v1/cron" : "/v1/cron/" + table + "?after=" + after, null, table == null ? "cron" : table);
+            return UserCommands.ask(nodes, "GET", table == null ? "/v1/cron" : "/v1/cron/" + table + "?after=" + after, null, table == null ? "cron" : table);
         }
     }
 
@@ -216,7 +212,7 @@
 
         @Override
         public Integer call() {
-            return ask(nodes, "POST", "/v1/cron/" + table + "/remove", Codec.map(), table);
+            return UserCommands.ask(nodes, "POST", "/v1/cron/" + table + "/remove", Codec.map(), table);
         }
     }
 
@@ -244,7 +240,7 @@
             String calendar = name == null ? base(file) : name;
             try {
                 ObjectNode body = calendar(file, calendar, business).toNode();
-                return ask(nodes, "POST", "/v1/calendars/" + calendar, body, calendar);
+                return UserCommands.ask(nodes, "POST", "/v1/calendars/" + calendar, body, calendar);
             } catch (Malformed e) {
                 System.err.println("beechhoist: " + file + ": " + e.getMessage());
             } catch (IOException | UncheckedIOException e) {
@@ -264,7 +260,7 @@
 
         @Override
         public Integer call() {
-            return ask(nodes, "GET", "/v1/calendars/" + name, null, name);
+            return UserCommands.ask(nodes, "GET", "/v1/calendars/" + name, null, name);
         }
     }
 
--- a/src/main/java/org/beechhoist/cli/KeySetCommands.java
+++ b/src/main/java/org/beechhoist/cli/KeySetCommands.java
@@ -19,22 +19,6 @@
     private KeySetCommands() {
     }
 
-    private static int ask(Nodes nodes, String method, String path, ObjectNode body, String what) {
-        return UserCommands.run(() -> nodes.client().ask(method, path, body), what);
-    }
-
-    /** Who makes a change, and why: it is kept with it. */
-    static final class Change {
-        @CommandLine.Option(names = "--who", required = true, description = "who decides it")
-        private String who;
-        @CommandLine.Option(names = "--why", required = true)
-        private String why;
-
-        private ObjectNode body() {
-            return Codec.map().put("who", who).put("why", why);
-        }
-    }
-
     /** Proposes a set, or its next version. */
     @CommandLine.Command(name = "propose", mixinStandardHelpOptions = true,
             description = "Propose a key set, or its next version: a TOML file with name, owner, fingerprints and perhaps classes.")
@@ -51,12 +35,12 @@
             try {
                 JsonNode given = new TomlMapper().readTree(file.toFile());
                 String name = Codec.text(given, "name");
-                ObjectNode body = change.body().put("owner", Codec.text(given, "owner"));
+                ObjectNode body = change.to(Codec.map()).put("owner", Codec.text(given, "owner"));
                 body.set("fingerprints", strings(given, "fingerprints"));
                 if (!Codec.absent(given, "classes")) {
                     body.set("classes", strings(given, "classes"));
                 }
-                return ask(nodes, "POST", PATH + "/" + name + "/propose", body, name);
+                return UserCommands.ask(nodes, "POST", PATH + "/" + name + "/propose", body, name);
             } catch (Malformed e) {
                 System.err.println("beechhoist: " + file + ": " + e.getMessage());
             } catch (IOException e) {
@@ -91,8 +75,8 @@
 
         @Override
         public Integer call() {
-            return ask(nodes, "POST", PATH + "/" + name + "/approve",
-                    change.body().put("version", version).put("digest", digest).put("drainS", drainS), name);
+            return UserCommands.ask(nodes, "POST", PATH + "/" + name + "/approve",
+                    change.to(Codec.map()).put("version", version).put("digest", digest).put("drainS", drainS), name);
         }
     }
 
@@ -111,7 +95,7 @@
 
         @Override
         public Integer call() {
-            return ask(nodes, "POST", PATH + "/" + name + "/revoke", change.body().put("version", version), name);
+            return UserCommands.ask(nodes, "POST", PATH + "/" + name + "/revoke", change.to(Codec.map()).put("version", version), name);
         }
     }
 
@@ -131,7 +115,7 @@
             ObjectNode body = Codec.map();
             classes.forEach(body.putArray("classes")::add);
             teams.forEach(body.putArray("teams")::add);
-            return ask(nodes, "POST", PATH + "/required", body, "required");
+            return UserCommands.ask(nodes, "POST", PATH + "/required", body, "required");
         }
     }
 
@@ -143,7 +127,7 @@
 
         @Override
         public Integer call() {
-            return ask(nodes, "GET", PATH, null, "keysets");
+            return UserCommands.ask(nodes, "GET", PATH, null, "keysets");
         }
     }
 
@@ -157,7 +141,7 @@
 
         @Override
         public Integer call() {
-            return ask(nodes, "GET", PATH + "/" + name, null, name);
+            return UserCommands.ask(nodes, "GET", PATH + "/" + name, null, name);
         }
     }
 
@@ -171,7 +155,7 @@
 
         @Override
         public Integer call() {
-            return ask(nodes, "GET", PATH + "/" + name + "/jobs", null, name);
+            return UserCommands.ask(nodes, "GET", PATH + "/" + name + "/jobs", null, name);
         }
     }
 
--- a/src/main/java/org/beechhoist/cli/ReleaseCommands.java
+++ b/src/main/java/org/beechhoist/cli/ReleaseCommands.java
@@ -21,22 +21,6 @@
     private ReleaseCommands() {
     }
 
-    private static int ask(Nodes nodes, String method, String path, ObjectNode body, String what) {
-        return UserCommands.run(() -> nodes.client().ask(method, path, body), what);
-    }
-
-    /** Who makes a change, and why: it stays in the release's history. */
-    static final class Change {
-        @CommandLine.Option(names = "--who", required = true)
-        private String who;
-        @CommandLine.Option(names = "--why", required = true)
-        private String why;
-
-        private ObjectNode to(ObjectNode body) {
-            return body.put("who", who).put("why", why);
-        }
-    }
-
     /** Puts a release, or what it is from now on. */
     @CommandLine.Command(name = "put", mixinStandardHelpOptions = true, description = "Put a release: a TOML file with name, maker, ship, zone, and perhaps "
             + "factory, leadDays, calendar, team, class, bundle.")
@@ -54,7 +38,7 @@
                 JsonNode given = new TomlMapper().readTree(file.toFile());
                 String name = Codec.text(given, "name");
                 Release.described(name, given);
-                return ask(nodes, "POST", PATH + "/" + name + "/put", change.to(((ObjectNode) given).deepCopy()), name);
+                return UserCommands.ask(nodes, "POST", PATH + "/" + name + "/put", change.to(((ObjectNode) given).deepCopy()), name);
             } catch (Malformed e) {
                 System.err.println("beechhoist: " + file + ": " + e.getMessage());
             } catch (IOException e) {
@@ -85,7 +69,7 @@
                 for (Map.Entry<String, String> e : dates.entrySet()) {
                     ObjectNode body = change.to(((ObjectNode) given).deepCopy()).put("name", e.getKey()).put("ship", e.getValue());
                     Release.described(e.getKey(), body);
-                    int code = ask(nodes, "POST", PATH + "/" + e.getKey() + "/put", body, e.getKey());
+                    int code = UserCommands.ask(nodes, "POST", PATH + "/" + e.getKey() + "/put", body, e.getKey());
                     if (code != 0) {
                         return code;
                     }
@@ -114,7 +98,7 @@
 
         @Override
         public Integer call() {
-            return ask(nodes, "POST", PATH + "/" + name + "/move", change.to(Codec.map().put("ship", ship)), name);
+            return UserCommands.ask(nodes, "POST", PATH + "/" + name + "/move", change.to(Codec.map().put("ship", ship)), name);
         }
     }
 
@@ -130,7 +114,7 @@
 
         @Override
         public Integer call() {
-            return ask(nodes, "POST", PATH + "/" + name + "/remove", change.to(Codec.map()), name);
+            return UserCommands.ask(nodes, "POST", PATH + "/" + name + "/remove", change.to(Codec.map()), name);
         }
     }
 
@@ -143,7 +127,7 @@
 
         @Override
         public Integer call() {
-            return ask(nodes, "GET", PATH, null, "releases");
+            return UserCommands.ask(nodes, "GET", PATH, null, "releases");
         }
     }
 
@@ -157,7 +141,7 @@
 
         @Override
         public Integer call() {
-            return ask(nodes, "GET", PATH + "/" + name, null, name);
+            return UserCommands.ask(nodes, "GET", PATH + "/" + name, null, name);
         }
     }
 
--- a/src/main/java/org/beechhoist/cli/UserCommands.java
+++ b/src/main/java/org/beechhoist/cli/UserCommands.java
@@ -27,6 +27,11 @@
         ApiClient.Answer ask() throws IOException;
     }
 
+    /** Asks the nodes, and prints what they answer. */
+    static int ask(Nodes nodes, String method, String path, ObjectNode body, String what) {
+        return run(() -> nodes.client().ask(method, path, body), what);
+    }
+
     static int run(Question question, String what) {
         try {
             ApiClient.Answer a = question.ask();
--- a/src/main/java/org/beechhoist/core/OpenReads.java
+++ b/src/main/java/org/beechhoist/core/OpenReads.java
@@ -34,17 +34,15 @@
     private final Turn turn;
     private final StoreClient store;
     private final Budget requests;
-    private final long gatherMs;
+    private final Paced pace;
     private List<Waiting> waiting = new ArrayList<>();
     private boolean asking;
-    private boolean timed;
-    private Tick nextAsk = Tick.ZERO;
 
     OpenReads(Turn turn, StoreClient store, Budget requests, Settings settings) {
         this.turn = turn;
         this.store = store;
         this.requests = requests;
-        this.gatherMs = StatusReads.gatherMs(settings);
+        this.pace = new Paced(turn, StatusReads.gatherMs(settings));
     }
 
     /** Hands over what the state service holds, or {@link Read#UNKNOWN}. */
@@ -64,17 +62,10 @@
         if (asking || waiting.isEmpty()) {
             return;
         }
-        if (turn.now().before(nextAsk)) {
-            if (!timed) {
-                timed = true;
-                turn.after(nextAsk.since(turn.now()), () -> {
-                    timed = false;
-                    ask();
-                });
-            }
+        if (pace.tooSoon(this::ask)) {
             return;
         }
-        nextAsk = turn.now().plusMs(gatherMs);
+        pace.done();
         asking = true;
         String first = JobRecord.openKey(waiting.get(0).ref);
         Set<Waiting> asked = new HashSet<>(waiting);
--- a/src/main/java/org/beechhoist/core/StatusReads.java
+++ b/src/main/java/org/beechhoist/core/StatusReads.java
@@ -50,12 +50,10 @@
     private final StoreClient store;
     private final Budget requests;
     private final int mostGuards;
-    private final long gatherMs;
+    private final Paced pace;
     private final Map<JobRef, Known> known = Recent.used(REMEMBERED);
     private List<Poll> waiting = new ArrayList<>();
     private boolean asking;
-    private boolean timed;
-    private Tick nextAsk = Tick.ZERO;
 
     /** The state service takes four times as many comparisons as changes in one transaction. */
     StatusReads(Turn turn, StoreClient store, Budget requests, Settings settings) {
@@ -63,7 +61,7 @@
         this.store = store;
         this.requests = requests;
         this.mostGuards = 4 * settings.stateLimits().txnOps();
-        this.gatherMs = gatherMs(settings);
+        this.pace = new Paced(turn, gatherMs(settings));
     }
 
     /** The job's record was read or written as this version. */
@@ -103,14 +101,7 @@
         if (asking || waiting.isEmpty()) {
             return;
         }
-        if (turn.now().before(nextAsk)) {
-            if (!timed) {
-                timed = true;
-                turn.after(nextAsk.since(turn.now()), () -> {
-                    timed = false;
-                    ask();
-                });
-            }
+        if (pace.tooSoon(this::ask)) {
             return;
         }
         List<Poll> batch = waiting;
@@ -119,7 +110,7 @@
             batch.forEach(p -> p.then.accept(Result.REFUSED, null));
             return;
         }
-        nextAsk = turn.now().plusMs(gatherMs);
+        pace.done();
         Map<JobRef, Known> asked = new LinkedHashMap<>();
         Txn txn = new Txn();
         List<Poll> polls = new ArrayList<>();
