A leader that gets no answer gives the key up, one that nobody hears makes way

Cause: with a cut one way the leader's extensions were carried out and kept the key from all others while it vouched for nothing: 40 tasks' leases ended. A leader whose answers reach no worker still hears a third of all reports, for workers go round all nodes, and led on. Change: no answer of any kind for a lease ends a leadership; 0.6 of the machines speaking and proving not to hear does, too.

--- a/src/main/java/org/beechhoist/core/Election.java
+++ b/src/main/java/org/beechhoist/core/Election.java
@@ -7,6 +7,7 @@
 import org.beechhoist.store.Txn;
 import org.beechhoist.wire.Baton;
 import org.beechhoist.wire.Codec;
+import org.beechhoist.wire.Outcome;
 import org.beechhoist.wire.Revision;
 import org.beechhoist.wire.Tick;
 import org.slf4j.Logger;
@@ -265,6 +266,9 @@
                 turn.after(Math.max(100, ttlMs / 5 - turn.now().since(sent)), () -> extend(r));
             } else if (o.is(404)) {
                 lose("the lease ended");
+            } else if (o.kind() == Outcome.Kind.UNKNOWN && !valid()) {
+                // Its requests may arrive all the same, and would keep the key from all others for as long as they do.
+                lose("the state service has not answered for a lease");
             } else {
                 turn.after(300, () -> extend(r));
             }
--- a/src/main/java/org/beechhoist/core/Hearing.java
+++ b/src/main/java/org/beechhoist/core/Hearing.java
@@ -13,6 +13,8 @@
     /** Fewer of its machines than this share in the time in which all should have reported: something is in between. */
     private static final double DEAF_SHARE = 0.3;
     private static final int LEAST_MACHINES = 5;
+    /** So many of its machines speak and prove not to hear it: more than a zone that is cut off one way. */
+    private static final double MUTE_SHARE = 0.6;
     /** Machines that are silent for all: other nodes must have been turned to by this share of the missing ones. */
     private static final double TURNED_SHARE = 0.2;
     private static final int MOST_REMEMBERED = 20_000;
@@ -45,6 +47,11 @@
         return reports.size();
     }
 
+    /** Whether what a leader says reaches so few of its machines that another should say it. */
+    static boolean mute(int up, int unhearing) {
+        return up >= LEAST_MACHINES && unhearing >= MUTE_SHARE * up;
+    }
+
     /**
      * Whether a leader should make way.
      *
--- a/src/main/java/org/beechhoist/core/Leader.java
+++ b/src/main/java/org/beechhoist/core/Leader.java
@@ -332,12 +332,19 @@
         }
         int up = 0;
         int heard = 0;
+        int unhearing = 0;
         for (Host h : book.hosts()) {
             if (h.known() && h.there && !h.returning && (h.up || h.listedUp)) {
                 up++;
                 heard += h.lastHeard != null && turn.now().since(h.lastHeard) < window ? 1 : 0;
+                unhearing += h.ears.speaksOn() ? 1 : 0;
             }
         }
+        if (Hearing.mute(up, unhearing)) {
+            LOG.warn("{} of {} machines speak and don't hear this node: another is to lead", unhearing, up);
+            election.makeWay("what this node says does not reach workers", MAKE_WAY_MS);
+            return true;
+        }
         if (!Hearing.deaf(up, heard, peers.reportsElsewhere(turn.now()))) {
             return false;
         }
--- a/src/test/java/org/beechhoist/sim/FaultsTest.java
+++ b/src/test/java/org/beechhoist/sim/FaultsTest.java
@@ -96,6 +96,31 @@
         assertEquals(List.of(), w.unfinished());
     }
 
+    /** The leader hears all machines and none hears it: another is heard, and no lease ends for the time in between. */
+    @ParameterizedTest
+    @CsvSource({"3, 3000", "5, 6000", "7, 6000"})
+    void aLeaderWhomNobodyHearsMakesWay(int nodes, long reportMs) {
+        for (long seed = 1; seed <= 2; seed++) {
+            Extent x = Extent.strict();
+            x.leaseS = 32;
+            World w = new World(53 + seed, new World.Scale(nodes, 10, reportMs, 0, StateService.KEPT_CHANGES).with(x));
+            for (int i = 0; i < 10; i++) {
+                w.submit("slow", false, 10, 1, 200, n -> n.put("owner", "blue").put("loaner", true));
+            }
+            arrivals(w, 120_000);
+            w.runUntil(80_000);
+            int before = w.leader();
+            int lost = w.lost.tasks;
+            w.mute(before, 60_000);
+            w.runUntil(140_000);
+            assertTrue(before != w.leader(), "node " + before + " still leads, seed " + seed);
+            assertEquals(0, w.toll.lost(Worker.End.LAPSED), "leases that ended, seed " + seed);
+            assertEquals(lost, w.lost.tasks, "tasks on machines that were returned, seed " + seed);
+            w.runUntil(900_000);
+            assertEquals(List.of(), w.unfinished(), "seed " + seed);
+        }
+    }
+
     // ---- copies ----
 
     /** Each report comes again, up to three leases late, to any node, from machines long gone, across changes of leader. */
@@ -126,7 +151,7 @@
 
     /** Nobody else may think that it leads after its lease; workers find another, and no lease of theirs ends for it. */
     @ParameterizedTest
-    @CsvSource({"1, false, 40000", "1, true, 40000", "2, false, 30000", "2, true, 90000", "1, false, 5000"})
+    @CsvSource({"1, false, 40000", "1, true, 40000", "2, false, 30000", "2, true, 90000", "1, false, 5000", "3, false, 40000"})
     void aNodeThatOnlyItsWorkersReachSendsThemOn(int together, boolean refuses, long forMs) {
         for (long seed = 1; seed <= 2; seed++) {
             World w = world(70 + seed, 5, 10);
@@ -137,7 +162,11 @@
             w.runUntil(70_000);
             int lost = w.lost.tasks;
             int before = w.leader();
-            w.isolate(before, refuses, forMs);
+            if (together == 3) {
+                w.isolateOneWay(before, forMs);
+            } else {
+                w.isolate(before, refuses, forMs);
+            }
             if (together == 2) {
                 w.isolate((before + 1) % 5, refuses, forMs);
             }
@@ -283,6 +312,30 @@
         }
     }
 
+    /** A machine stops and another has its address, with a session of the same number: what was meant for the one must not run on the other. */
+    @Test
+    void anAddressThatBelongsToAnother() {
+        for (long seed = 1; seed <= 4; seed++) {
+            World w = world(97 + seed, 3, 6);
+            w.every(400, () -> {
+                if (w.now < 120_000) {
+                    w.submit("fast", false, 2, 1, 15, n -> n.put("urgency", "urgent").put("owner", "blue").put("loaner", true));
+                }
+            });
+            w.runUntil(50_000);
+            for (int i = 0; i < 4; i++) {
+                w.later(i * 15_000L, () -> {
+                    List<String> up = w.machineNames();
+                    if (up.size() > 3) {
+                        w.takeAddress(up.get(0), up.get(up.size() - 1));
+                    }
+                });
+            }
+            w.runUntil(400_000);
+            assertEquals(List.of(), w.unfinished(), "seed " + seed);
+        }
+    }
+
     // ---- nobody forgotten ----
 
     /** After a storm of polls that the state service can't answer, each job's questions are answered within seconds, not only most. */
--- a/src/test/java/org/beechhoist/sim/World.java
+++ b/src/test/java/org/beechhoist/sim/World.java
@@ -148,6 +148,10 @@
         private long peersCutUntil;
         /** Whether calls to the state service fail at once while it is cut, instead of hanging. */
         private boolean cutRefuses;
+        /** Its requests arrive, and no answer comes back. */
+        private boolean cutOneWay;
+        /** Until when what it says reaches no worker, though it hears them. */
+        private long muteUntil;
         private Predicate<Effect> crashAt;
         private long backMs;
 
@@ -408,6 +412,8 @@
     private final Cloud cloud;
     private final Node[] nodes;
     private final Map<String, Machine> machines = new LinkedHashMap<>();
+    /** Addresses that belong to another machine than they did. */
+    private final Map<String, String> aliases = new HashMap<>();
     private final Map<String, UserJob> jobs = new LinkedHashMap<>();
     private final Budget stateRequests;
     private final Budget stateWrites;
@@ -657,6 +663,15 @@
         boolean trouble = commit && random.nextDouble() < stateTrouble;
         boolean late = trouble && random.nextBoolean();
         long delay = late ? 3000 + random.nextInt(60_000) : there;
+        if (now < from.stateCutUntil && from.cutOneWay) {
+            later(there, () -> state.handle(now, c.method(), c.path(), copy(c.body()), r -> {
+                if (commit && r.status() == 200) {
+                    learn(c.body());
+                    committed.accept(from.index, c.body());
+                }
+            }));
+            return;
+        }
         if (now < from.stateCutUntil || cutOff(from)) {
             if (from.cutRefuses) {
                 later(1, () -> back.accept(Outcome.NOT_SENT));
@@ -741,6 +756,10 @@
     }
 
     /** Whether nothing passes between the two now: what is on its way is held back. */
+    private boolean mute(Machine m, Node n) {
+        return m.deaf() || now < n.muteUntil;
+    }
+
     private boolean held(Machine m, Node n) {
         String zone = scale.extent.zoneOf(n.index);
         boolean apart = !zone.equals(m.worker.zone) && (zoneCut(zone) || zoneCut(m.worker.zone));
@@ -748,7 +767,7 @@
     }
 
     private void toHost(Node from, Effect.Call c, Consumer<Outcome> back, long there) {
-        Machine m = machines.get(c.address());
+        Machine m = machines.get(aliases.getOrDefault(c.address(), c.address()));
         if (m == null || m.gone) {
             if (!c.path().equals("/show")) {
                 copies.toGone(c.body());
@@ -772,7 +791,7 @@
             if (m.deaf() && copies.deafSeemToHear) {
                 JsonNode seeming = copies.seeming(this, Codec.encode(m.worker.report()));
                 later(1, () -> back.accept(Outcome.answered(200, seeming)));
-            } else if (held(m, from) || m.deaf()) {
+            } else if (held(m, from) || mute(m, from)) {
                 m.hold(from, deliver);
             } else {
                 deliver.run();
@@ -804,10 +823,29 @@
     void isolate(int node, boolean refuses, long forMs) {
         trouble(forMs);
         nodes[node].cutRefuses = refuses;
+        nodes[node].cutOneWay = false;
         nodes[node].stateCutUntil = now + forMs;
         nodes[node].peersCutUntil = now + forMs;
     }
 
+    /** Workers' reports reach the node, and nothing that it says reaches them. */
+    void mute(int node, long forMs) {
+        trouble(forMs);
+        nodes[node].muteUntil = now + forMs;
+    }
+
+    /** The same, but only answers are lost: what it asks of the state service is done. */
+    void isolateOneWay(int node, long forMs) {
+        isolate(node, false, forMs);
+        nodes[node].cutOneWay = true;
+    }
+
+    /** A machine stops for good, and another one has its address from then on. */
+    void takeAddress(String gone, String by) {
+        cloud.machines().stream().filter(m -> m.name.equals(gone)).findFirst().ifPresent(m -> cloud.end(m, false, now));
+        aliases.put(gone, by);
+    }
+
     /** Something is wrong for so long; what users are not told meanwhile is not counted. */
     void trouble(long forMs) {
         calmFrom = Math.max(calmFrom, now + forMs);
@@ -885,7 +923,7 @@
         m.worker.tick(now);
         if (!m.held.isEmpty()) {
             for (Node n : nodes) {
-                if (m.held.containsKey(n) && !held(m, n) && !m.deaf()) {
+                if (m.held.containsKey(n) && !held(m, n) && !mute(m, n)) {
                     m.held.remove(n).forEach(Runnable::run);
                 }
             }
@@ -934,7 +972,7 @@
                     // An answer that meets a cut comes after it; the worker has given up by then or takes it.
                     copies.answered(m.deaf(), copied);
                     later(1 + draw(3), () -> {
-                        if (held(m, node) || m.deaf()) {
+                        if (held(m, node) || mute(m, node)) {
                             m.hold(node, () -> answer.accept(back));
                         } else {
                             answer.accept(back);
