--- a/src/main/java/org/beechhoist/cli/ReleaseCommands.java
+++ b/src/main/java/org/beechhoist/cli/ReleaseCommands.java
@@ -119,8 +119,8 @@
     }
 
     /** Shows all releases. */
-    @CommandLine.Command(name = "list", aliases = "next", mixinStandardHelpOptions = true,
-            description = "Show all releases, the nearest first; from the leading node with what is done, when it will be over, and what is at risk.")
+    @CommandLine.Command(name = "list", mixinStandardHelpOptions = true,
+            description = "Show all releases, the nearest first, with what is done, when it will be over, and what is at risk: the leading node knows.")
     static final class List_ implements Callable<Integer> {
         @CommandLine.Mixin
         private Nodes nodes;
@@ -131,6 +131,18 @@
         }
     }
 
+    /** Shows which release goes first. */
+    @CommandLine.Command(name = "next", mixinStandardHelpOptions = true, description = "Show all releases in their order; every node knows it.")
+    static final class Next implements Callable<Integer> {
+        @CommandLine.Mixin
+        private Nodes nodes;
+
+        @Override
+        public Integer call() {
+            return UserCommands.ask(nodes, "GET", PATH + "/", null, "releases");
+        }
+    }
+
     /** Shows one release. */
     @CommandLine.Command(name = "show", mixinStandardHelpOptions = true, description = "Show a release with its history: who moved which date, and which jobs' order it changed.")
     static final class Show implements Callable<Integer> {
@@ -147,7 +159,7 @@
 
     /** The release calendar. */
     @CommandLine.Command(name = "release", mixinStandardHelpOptions = true, description = "Makers' promised ship dates.",
-            subcommands = {Put.class, Import.class, Move.class, Remove.class, List_.class, Show.class})
+            subcommands = {Put.class, Import.class, Move.class, Remove.class, List_.class, Next.class, Show.class})
     static final class Releases {
     }
 }
--- a/src/main/java/org/beechhoist/core/ReleaseApi.java
+++ b/src/main/java/org/beechhoist/core/ReleaseApi.java
@@ -67,7 +67,7 @@
         try {
             JsonNode n = post ? Codec.decodeMap(body) : null;
             if (rest.isEmpty() && !post) {
-                list(leader, answer);
+                list(leader, path.endsWith("/"), answer);
             } else if (slash < 0 && !post) {
                 show(name, answer);
             } else if (verb.equals("put") && post) {
@@ -191,23 +191,23 @@
         });
     }
 
-    private void list(Leader leader, CronApi.Answer answer) {
+    /** @param orderAlone which every node knows; what is done, and when it will be over, is known to the leading one alone */
+    private void list(Leader leader, boolean orderAlone, CronApi.Answer answer) {
         if (!releases.read()) {
             unknown(answer);
             return;
         }
         ObjectNode out = Codec.map();
-        if (leader != null) {
+        if (leader != null && !orderAlone) {
             out.set("releases", leader.releases().view(leader.planner()));
             answer.with(200, out);
             return;
         }
-        // The order is known on every node; what is done, and when it will be over, to the leading one alone.
         ArrayNode rows = out.putArray("releases");
         List<Release> all = releases.snapshot().all().stream().sorted(Comparator.comparingLong(Release::dueMs).thenComparing(Release::name)).toList();
         all.forEach(r -> rows.addObject().put("name", r.name()).put("maker", r.maker()).put("ship", r.ship().toString()).put("zone", r.zone().getId())
                 .put("due", r.dueMs()).put("dueInS", (r.dueMs() - turn.wallMs()) / 1000.0));
-        answer.with(200, out.put("note", "this node does not lead: no forecast"));
+        answer.with(orderAlone ? 200 : 421, orderAlone ? out : out.put("error", "this node does not lead: no forecast"));
     }
 
     private void show(String name, CronApi.Answer answer) {
--- a/src/test/java/org/beechhoist/sim/ReleaseTest.java
+++ b/src/test/java/org/beechhoist/sim/ReleaseTest.java
@@ -98,6 +98,13 @@
         w.request("POST", "/v1/releases/two/remove", Codec.map().put("who", "c").put("why", "withdrawn"), a -> assertEquals(200, a.status()));
         w.runUntil(505_000);
         assertEquals(1, view(w).size());
+        int[] status = new int[2];
+        int other = (w.leader() + 1) % 3;
+        w.at(other, "GET", "/v1/releases", new byte[0], a -> status[0] = a.status());
+        w.at(other, "GET", "/v1/releases/", new byte[0], a -> status[1] = a.status());
+        w.runUntil(506_000);
+        assertEquals(421, status[0], "the leading node makes the forecast");
+        assertEquals(200, status[1], "the order is known to all");
     }
 
     private static JsonNode view(World w) {
