--- a/src/main/java/org/beechhoist/core/Departures.java
+++ b/src/main/java/org/beechhoist/core/Departures.java
@@ -22,13 +22,13 @@
         this.stopping = stopping;
     }
 
-    /** Sends a committed placement on its way, unless its job was cancelled meanwhile. */
+    /** Sends a committed placement on its way, unless its job was cancelled meanwhile or its machine is about to go. */
     void launch(Placement p) {
         Job j = book.job(p.task.job());
         if (j == null || j.record.live.get(p.task.index()) != p) {
             return;
         }
-        if (j.record.cancelled() || j.held()) {
+        if (j.record.cancelled() || j.held() || !p.sent && book.host(p.host).going()) {
             remove(j, p);
             return;
         }
--- a/src/main/java/org/beechhoist/core/Elastic.java
+++ b/src/main/java/org/beechhoist/core/Elastic.java
@@ -121,7 +121,7 @@
 
     /** Whether a committed placement must not be launched any more: its machine has begun to go. */
     boolean withdraws(Job j, Placement p, Host h) {
-        boolean going = h.noticeEnds != null || h.returning || (j != null && j.leaving.containsKey(p));
+        boolean going = h.going() || (j != null && j.leaving.containsKey(p));
         if (j == null || j.record.width == null || p.sent || !going) {
             return false;
         }
--- a/src/main/java/org/beechhoist/core/Host.java
+++ b/src/main/java/org/beechhoist/core/Host.java
@@ -115,6 +115,11 @@
         callsLost = true;
     }
 
+    /** It is about to be taken or returned: nothing new is launched there, whatever was decided before. */
+    boolean going() {
+        return noticeEnds != null || returning;
+    }
+
     /** Tasks given to it that it has shown, or that it has not. */
     int placedAndSeen(boolean seen) {
         return (int) placements.values().stream().filter(p -> p.sent && seen == p.seen).count();
--- a/src/main/java/org/beechhoist/core/Orders.java
+++ b/src/main/java/org/beechhoist/core/Orders.java
@@ -73,7 +73,7 @@
                 return false;
             }
             Placement p = h.placements.get(o.task());
-            if (p == null || p.attempt != o.attempt() || !p.committed || p.sent) {
+            if (p == null || p.attempt != o.attempt() || !p.committed || p.sent || h.going()) {
                 return true;
             }
             launches.add(p);
--- a/src/main/java/org/beechhoist/core/Reports.java
+++ b/src/main/java/org/beechhoist/core/Reports.java
@@ -129,7 +129,8 @@
             h.unanswered = 0; // a copy ends no silence that was noticed; but it may be the machine's first, so it is asked once more
             h.mayAnswerUntil = turn.now().plusMs(ANSWERS_MS);
         }
-        if (standing.current() && r.noticeS() != null) {
+        // A notice is never withdrawn: an old report tells of it too, though not how much time is left.
+        if (r.noticeS() != null && (standing.current() || h.noticeEnds == null)) {
             if (h.noticeEnds == null) {
                 LOG.info("{} is taken back in {} s", h.id, r.noticeS());
                 book.replan();
@@ -140,14 +141,14 @@
         }
     }
 
-    /** What is to be launched there goes with the answer; a machine that doesn't hear gets nothing, and what was never sent there waits again. */
+    /** What is to be launched there goes with the answer; what doesn't hear, or is about to go, gets nothing, and what was never sent there waits again. */
     private void launch(Host h, HostReport r, List<Order> orders) {
         for (Placement p : new ArrayList<>(h.placements.values())) {
             Job j = book.job(p.task.job());
             if (j == null) {
                 continue; // its record can't be read: it is left alone
             }
-            if (p.committed && (elastic.withdraws(j, p, h) || (h.ears.deaf() || j.held()) && !p.sent)) {
+            if (p.committed && (elastic.withdraws(j, p, h) || (h.going() || h.ears.deaf() || j.held()) && !p.sent)) {
                 departures.remove(j, p);
                 continue;
             }
--- a/src/test/java/org/beechhoist/cli/TryTest.java
+++ b/src/test/java/org/beechhoist/cli/TryTest.java
@@ -8,11 +8,13 @@
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 import picocli.CommandLine;
 
 /** The README's first command: real sockets, three controllers and a region in one process. */
+@Tag("clock")
 class TryTest {
     private record Ran(int code, String out, String err) {
     }
--- a/src/test/java/org/beechhoist/daemon/NodeStartTest.java
+++ b/src/test/java/org/beechhoist/daemon/NodeStartTest.java
@@ -10,10 +10,12 @@
 import java.util.concurrent.TimeUnit;
 import org.beechhoist.config.Policy;
 import org.beechhoist.config.Settings;
+import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 
 /** A process that is started again before the one before has let go of its addresses. */
+@Tag("clock")
 class NodeStartTest {
     private static Settings settings(int publicPort, int internalPort) throws Exception {
         return Settings.parse("""
--- a/src/test/java/org/beechhoist/net/CrowdedServerTest.java
+++ b/src/test/java/org/beechhoist/net/CrowdedServerTest.java
@@ -10,10 +10,12 @@
 import java.util.List;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 
 /** More clients than sockets, each with a connection of its own and a report to make now and then. */
+@Tag("clock")
 class CrowdedServerTest {
     private static final int SOCKETS = 48;
     private static final int CLIENTS = 130;
--- a/src/test/java/org/beechhoist/sim/FaultsTest.java
+++ b/src/test/java/org/beechhoist/sim/FaultsTest.java
@@ -3,11 +3,14 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.util.HashSet;
 import java.util.List;
+import java.util.Set;
 import java.util.function.Predicate;
 import org.beechhoist.core.Effect;
 import org.beechhoist.standin.StateService;
 import org.beechhoist.standin.Worker;
+import org.beechhoist.wire.TaskId;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
@@ -215,6 +218,43 @@
         assertEquals(200, answered[0], "it is ready again");
     }
 
+    /**
+     * A notice is never withdrawn, so a report tells of it however old it may be: a new leader once left it alone until the worker
+     * had its token, and gave work to machines about to go. Nor is anything launched that was decided before the notice was heard.
+     */
+    @Test
+    void aNoticeHeardByANewLeaderIsBelieved() {
+        int noticed = 0;
+        for (long seed = 1; seed <= 4; seed++) {
+            World w = world(110 + seed, 3, 10);
+            w.every(300, () -> {
+                if (w.now < 110_000) {
+                    w.submit("fast", false, 2, 1, 6, n -> n.put("urgency", "urgent").put("owner", "blue").put("loaner", true));
+                }
+            });
+            w.runUntil(60_000);
+            w.crash(w.leader(), 15_000);
+            List<String> going = w.machineNames().subList(0, w.machineNames().size() / 2);
+            going.forEach(h -> w.notice(h, 60));
+            noticed += going.size();
+            Set<TaskId> old = new HashSet<>();
+            going.forEach(h -> old.addAll(w.on(h)));
+            int[] given = new int[1];
+            w.every(50, () -> {
+                for (String h : w.now < 110_000 ? going : List.<String>of()) {
+                    for (TaskId t : w.on(h)) {
+                        given[0] += old.add(t) && w.now > 65_000 ? 1 : 0; // what was on its way before nobody led arrives by then
+                    }
+                }
+            });
+            w.runUntil(110_000);
+            assertEquals(0, given[0], "tasks begun on machines that had told of their notice, seed " + seed);
+            w.runUntil(400_000);
+            assertEquals(List.of(), w.unfinished(), "seed " + seed);
+        }
+        assertTrue(noticed > 20, noticed + " machines had a notice");
+    }
+
     // ---- planted ----
 
     /** What the checks above look at is seen: a copy that is taken for fresh, and a machine that is thought to hear. */
