--- a/deploy/product.lua
+++ b/deploy/product.lua
@@ -27,4 +27,7 @@
   -- Tasks with GPUs are packed, and small ones moved where a large one fits nowhere else.
   packing = true,
   moves = true,
+
+  -- Operators may have machines emptied and replaced, within budgets of disruption for each team.
+  drains = true,
 }
--- a/src/main/java/org/beechhoist/cli/Main.java
+++ b/src/main/java/org/beechhoist/cli/Main.java
@@ -6,7 +6,8 @@
 @CommandLine.Command(name = "beechhoist", mixinStandardHelpOptions = true, version = "beechhoist 0.1.0",
         description = "A planning cluster scheduler.", subcommands = {Try.class, Serve.class, Check.class, UserCommands.Submit.class,
             UserCommands.Status.class, UserCommands.Cancel.class, UserCommands.ResizeJob.class, UserCommands.View.class, CronCommands.Cron.class,
-            CronCommands.Calendars.class, KeySetCommands.KeySets.class, ReleaseCommands.Releases.class, Region.class, Warm.class})
+            CronCommands.Calendars.class, KeySetCommands.KeySets.class, ReleaseCommands.Releases.class, DrainCommands.Drains.class,
+            DrainCommands.Budgets.class, Region.class, Warm.class})
 public final class Main {
     private Main() {
     }
--- a/src/main/java/org/beechhoist/config/Policy.java
+++ b/src/main/java/org/beechhoist/config/Policy.java
@@ -14,11 +14,12 @@
  * @param releases whether the release calendar orders jobs
  * @param packing whether tasks with GPUs go where they break least of what is whole, and {@code moves} whether smaller ones are moved
  *     to make room
+ * @param drains whether operators may have machines emptied and replaced, within budgets
  * @param preemptCpuS work thrown away for one task's sake, in seconds of as many CPUs as it needs
  */
 public record Policy(int searchIterations, long searchMs, long searchEveryMs, Evaluation.Weights weights,
         double patience, double preemptCpuS, long idleSpotMs, long idleOrdinaryMs, long silentMs, Elastic elastic,
-        Cron cron, boolean fleetNotes, boolean servedFloor, boolean triage, boolean keySets, boolean releases, boolean packing, boolean moves) {
+        Cron cron, boolean fleetNotes, boolean servedFloor, boolean triage, boolean keySets, boolean releases, boolean packing, boolean moves, boolean drains) {
     /**
      * Jobs whose width changes while they run.
      *
@@ -44,40 +45,45 @@
     }
 
     public static final Policy DEFAULT = new Policy(300, 500, 10_000, Evaluation.Weights.DEFAULT, 0.3, 30, 20_000,
-            4_000, 12_000, Elastic.OFF, Cron.OFF, true, true, true, false, false, true, true);
+            4_000, 12_000, Elastic.OFF, Cron.OFF, true, true, true, false, false, true, true, false);
 
     public Policy with(Elastic other) {
         return new Policy(searchIterations, searchMs, searchEveryMs, weights, patience, preemptCpuS, idleSpotMs,
-                idleOrdinaryMs, silentMs, other, cron, fleetNotes, servedFloor, triage, keySets, releases, packing, moves);
+                idleOrdinaryMs, silentMs, other, cron, fleetNotes, servedFloor, triage, keySets, releases, packing, moves, drains);
     }
 
     public Policy with(boolean notes, boolean floor) {
         return new Policy(searchIterations, searchMs, searchEveryMs, weights, patience, preemptCpuS, idleSpotMs,
-                idleOrdinaryMs, silentMs, elastic, cron, notes, floor, triage, keySets, releases, packing, moves);
+                idleOrdinaryMs, silentMs, elastic, cron, notes, floor, triage, keySets, releases, packing, moves, drains);
     }
 
     public Policy with(Cron other) {
         return new Policy(searchIterations, searchMs, searchEveryMs, weights, patience, preemptCpuS, idleSpotMs,
-                idleOrdinaryMs, silentMs, elastic, other, fleetNotes, servedFloor, triage, keySets, releases, packing, moves);
+                idleOrdinaryMs, silentMs, elastic, other, fleetNotes, servedFloor, triage, keySets, releases, packing, moves, drains);
     }
 
     public Policy withTriage(boolean on) {
         return new Policy(searchIterations, searchMs, searchEveryMs, weights, patience, preemptCpuS, idleSpotMs,
-                idleOrdinaryMs, silentMs, elastic, cron, fleetNotes, servedFloor, on, keySets, releases, packing, moves);
+                idleOrdinaryMs, silentMs, elastic, cron, fleetNotes, servedFloor, on, keySets, releases, packing, moves, drains);
     }
 
     public Policy withKeySets(boolean on) {
         return new Policy(searchIterations, searchMs, searchEveryMs, weights, patience, preemptCpuS, idleSpotMs,
-                idleOrdinaryMs, silentMs, elastic, cron, fleetNotes, servedFloor, triage, on, releases, packing, moves);
+                idleOrdinaryMs, silentMs, elastic, cron, fleetNotes, servedFloor, triage, on, releases, packing, moves, drains);
     }
 
     public Policy withReleases(boolean on) {
         return new Policy(searchIterations, searchMs, searchEveryMs, weights, patience, preemptCpuS, idleSpotMs,
-                idleOrdinaryMs, silentMs, elastic, cron, fleetNotes, servedFloor, triage, keySets, on, packing, moves);
+                idleOrdinaryMs, silentMs, elastic, cron, fleetNotes, servedFloor, triage, keySets, on, packing, moves, drains);
     }
 
     public Policy withPacking(boolean packs, boolean mayMove) {
         return new Policy(searchIterations, searchMs, searchEveryMs, weights, patience, preemptCpuS, idleSpotMs,
-                idleOrdinaryMs, silentMs, elastic, cron, fleetNotes, servedFloor, triage, keySets, releases, packs, mayMove);
+                idleOrdinaryMs, silentMs, elastic, cron, fleetNotes, servedFloor, triage, keySets, releases, packs, mayMove, drains);
+    }
+
+    public Policy withDrains(boolean may) {
+        return new Policy(searchIterations, searchMs, searchEveryMs, weights, patience, preemptCpuS, idleSpotMs,
+                idleOrdinaryMs, silentMs, elastic, cron, fleetNotes, servedFloor, triage, keySets, releases, packing, moves, may);
     }
 }
--- a/src/main/java/org/beechhoist/config/PolicyScript.java
+++ b/src/main/java/org/beechhoist/config/PolicyScript.java
@@ -125,7 +125,8 @@
                 new Policy.Cron(r.flag("cron", d.cron().on()),
                         r.millis("once_keep_s", d.cron().onceKeepMs(), 60, 3.2e7), r.millisByName("once_keep", 60, 3.2e7)),
                 r.flag("fleet_notes", d.fleetNotes()), r.flag("served_floor", d.servedFloor()),
-                r.flag("triage", d.triage()), r.flag("key_sets", d.keySets()), r.flag("releases", d.releases()), r.flag("packing", d.packing()), r.flag("moves", d.moves()));
+                r.flag("triage", d.triage()), r.flag("key_sets", d.keySets()), r.flag("releases", d.releases()), r.flag("packing", d.packing()), r.flag("moves", d.moves()),
+                r.flag("drains", d.drains()));
         for (LuaValue k : t.keys()) {
             if (!known.contains(k.tojstring())) {
                 throw new Bad(r.at(k.tojstring()) + "unknown setting " + k.tojstring() + "; known are "
--- a/src/main/java/org/beechhoist/core/Admission.java
+++ b/src/main/java/org/beechhoist/core/Admission.java
@@ -39,7 +39,7 @@
     }
 
     boolean usable(Host h) {
-        return h.up && h.there && !h.ears.deaf() && !h.returning && h.noticeEnds == null && h.strangers == 0 && types.get(h.type) != null
+        return h.up && h.there && !h.ears.deaf() && !h.going() && h.strangers == 0 && types.get(h.type) != null
                 && turn.now().since(book.heard(h)) < settings.workers().reportS() * 3000
                 && h.avoidUntil.before(turn.now()) && h.lastHeard != null;
     }
--- a/src/main/java/org/beechhoist/core/Controller.java
+++ b/src/main/java/org/beechhoist/core/Controller.java
@@ -67,6 +67,9 @@
     /** Null where the release calendar is off. */
     private final ReleaseBook releases;
     private final ReleaseApi releaseApi;
+    /** Null where drains are off. */
+    private final DrainBook drains;
+    private final DrainApi drainApi;
     private boolean seenStore;
     private Tick storeServed = Tick.ZERO;
     private Tick storeHeard = Tick.ZERO;
@@ -95,6 +98,8 @@
         this.keySets = keys == null ? null : new KeySetApi(turn, settings, store, requests, writes, keys);
         this.releases = policy.releases() ? new ReleaseBook(turn, store, requests, this::releaseChanged) : null;
         this.releaseApi = releases == null ? null : new ReleaseApi(turn, settings, store, requests, writes, releases);
+        this.drains = policy.drains() ? new DrainBook(turn, store, requests, this::drainsChanged) : null;
+        this.drainApi = drains == null ? null : new DrainApi(turn, settings, store, requests, writes, drains);
         OnceKeys onceKeys = new OnceKeys(policy.cron(), keys);
         this.hearing = new Hearing(Math.round(1000 * settings.workers().reportS()));
         this.peers = new Peers(settings.seeds().keySet());
@@ -116,7 +121,7 @@
             }
         });
         this.leader = new Leader(turn, settings, policy, new SplittableRandom(seed), store, election, requests, writes, types, users,
-                onceKeys, peers, keys, releases);
+                onceKeys, peers, keys, releases, drains);
         share(false);
     }
 
@@ -137,6 +142,12 @@
         }
     }
 
+    private void drainsChanged() {
+        if (leader.active()) {
+            leader.book().replan();
+        }
+    }
+
     private void promised(JobRef ref, ObjectNode state) {
         if (keys != null) {
             keys.tell(state);
@@ -145,6 +156,9 @@
         Views.counted(known != null ? Progress.count(known) : progress.of(ref, turn.now()), state);
         if (known != null) {
             Views.promised(leader, ref, state, turn.now().ms());
+            if (drains != null) {
+                state.put("drained", DrainViews.told(known, leader.book()));
+            }
         }
     }
 
@@ -186,6 +200,9 @@
         if (releases != null) {
             releases.start();
         }
+        if (drains != null) {
+            drains.start();
+        }
         election.start();
         tick();
     }
@@ -266,6 +283,8 @@
             cron(id, method, path, query < 0 ? "" : target.substring(query + 1), body);
         } else if (releaseApi != null && (path.equals(ReleaseApi.PATH) || path.startsWith(ReleaseApi.PATH + "/"))) {
             releaseApi.request(method, path, body, leader.active() ? leader : null, (status, node) -> turn.answer(id, status, node));
+        } else if (drainApi != null && DrainApi.mine(path)) {
+            drainApi.request(method, path, body, leader.active() ? leader.drains() : null, (status, node) -> turn.answer(id, status, node));
         } else if (keySets != null && (path.equals(KeySetApi.PATH) || path.startsWith(KeySetApi.PATH + "/"))) {
             keySets.request(method, path, body, leader.active() ? leader.book() : null, (status, node) -> turn.answer(id, status, node));
         } else {
--- a/src/main/java/org/beechhoist/core/Departures.java
+++ b/src/main/java/org/beechhoist/core/Departures.java
@@ -79,6 +79,7 @@
                 LOG.info("{} try {} left {}: {}", p.task, p.attempt, h.id, why);
                 j.record.live.remove(p.task.index());
                 recovery.lost(j, p);
+                stopping.lostWithMachine(p);
                 j.leaving.remove(p);
                 j.uncommitted -= p.committed ? 0 : 1;
                 if (j.spec().gang()) {
--- /dev/null
+++ b/src/main/java/org/beechhoist/core/Disruptions.java
@@ -0,0 +1,248 @@
+package org.beechhoist.core;
+
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.function.Predicate;
+import org.beechhoist.config.Settings;
+import org.beechhoist.drain.Account;
+import org.beechhoist.drain.Budgets;
+import org.beechhoist.drain.Cause;
+import org.beechhoist.drain.DisruptionBudget;
+import org.beechhoist.store.Budget;
+import org.beechhoist.store.Placement;
+import org.beechhoist.store.StoreClient;
+import org.beechhoist.store.StoreClient.Commit;
+import org.beechhoist.store.Txn;
+import org.beechhoist.wire.Codec;
+import org.beechhoist.wire.HostId;
+import org.beechhoist.wire.JobSpec;
+import org.beechhoist.wire.TaskId;
+import org.beechhoist.wire.Tick;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * What of each team's work is disturbed, and why. What is done on purpose is charged in the commit that comes before it, so that the
+ * next leader knows; what happens by itself is charged as it happens and written every 15 s. Nothing is kept, read or
+ * written where drains are off.
+ */
+final class Disruptions {
+    static final String PREFIX = "dr/acct/";
+    private static final Logger LOG = LoggerFactory.getLogger(Disruptions.class);
+    private static final long EVERY_MS = 1000;
+    private static final long WRITE_EVERY_MS = 15_000;
+    private static final double PLENTY = 0.5;
+    private static final int MOST_IN_ONE = 4;
+    private static final long AGAIN_READ_MS = 700;
+    /** What was charged and not stopped for so long never will be: its leader fell in between, and its drain is over. */
+    private static final long NEVER_STOPPED_MS = 30_000;
+
+    private final Turn turn;
+    private final Settings settings;
+    private final StoreClient store;
+    private final Election election;
+    private final Budget requests;
+    private final Budget writes;
+    private final Book book;
+    private final boolean on;
+    /** Whether tasks of the machine are about to move, each when its turn comes. */
+    private Predicate<HostId> moving = h -> false;
+    private final Map<String, Account> accounts = new TreeMap<>();
+    private final Set<String> dirty = new HashSet<>();
+    private boolean read;
+    private Tick next = Tick.ZERO;
+    private Tick nextWrite = Tick.ZERO;
+
+    Disruptions(Turn turn, Settings settings, StoreClient store, Election election, Budget requests, Budget writes, Book book, boolean on) {
+        this.turn = turn;
+        this.settings = settings;
+        this.store = store;
+        this.election = election;
+        this.requests = requests;
+        this.writes = writes;
+        this.book = book;
+        this.on = on;
+    }
+
+    /** A new leadership begins: what the last one charged is read before anything is disturbed on purpose. */
+    void begin() {
+        accounts.clear();
+        dirty.clear();
+        read = false;
+        nextWrite = turn.now().plusMs(WRITE_EVERY_MS);
+        if (on) {
+            read(null);
+        }
+    }
+
+    private void read(String after) {
+        long reign = book.reign();
+        requests.take(turn.now(), 1);
+        store.list(PREFIX, after, 60, page -> {
+            if (reign != book.reign()) {
+                return;
+            }
+            if (!page.ok()) {
+                turn.after(AGAIN_READ_MS, () -> {
+                    if (reign == book.reign()) {
+                        read(after);
+                    }
+                });
+                return;
+            }
+            for (StoreClient.Item i : page.items()) {
+                accounts.put(i.key().substring(PREFIX.length()), Account.parse(i.value()));
+            }
+            if (page.more() && !page.items().isEmpty()) {
+                read(page.items().get(page.items().size() - 1).key());
+            } else {
+                read = true;
+            }
+        });
+    }
+
+    /** Who knows which machines' tasks are about to move. */
+    void moving(Predicate<HostId> who) {
+        moving = who;
+    }
+
+    /** Whether what earlier leaders charged is known. */
+    boolean known() {
+        return read;
+    }
+
+    // ---- charging ----
+
+    /** CPU seconds that stopping it now throws away. */
+    static double lostCpuS(JobSpec s, Placement p, Tick now) {
+        if (s.service() || p.running == null) {
+            return 0;
+        }
+        double ran = Math.max(0, now.since(p.running) / 1000.0);
+        return s.cpus() * (s.checkpointS() > 0 ? ran % s.checkpointS() : ran);
+    }
+
+    /** A task had to leave; what was done on purpose was charged before. */
+    void happened(Placement p, Cause cause) {
+        Job j = on && !cause.onPurpose() ? book.job(p.task.job()) : null;
+        if (j == null || j.record.cancelled() || !read) {
+            return;
+        }
+        JobSpec s = j.spec();
+        accounts.computeIfAbsent(s.team(), k -> new Account()).charge(p.task,
+                new Account.Away(p.attempt, s.jobClass(), cause, lostCpuS(s, p, turn.now()), turn.wallMs()));
+        dirty.add(s.team());
+    }
+
+    /** What a decision may charge on, and hand back with {@link #into} and {@link #adopt} once it is committed. */
+    Map<String, Account> copies() {
+        Map<String, Account> out = new TreeMap<>();
+        accounts.forEach((team, a) -> out.put(team, a.copy()));
+        return out;
+    }
+
+    /** Whether the account still is of the size that a value may have. */
+    boolean fits(Account a) {
+        return Codec.countedBytes(a.toNode()) <= settings.stateLimits().valueBytes();
+    }
+
+    void into(Txn txn, String team, Account a) {
+        txn.put(PREFIX + team, a.toNode());
+    }
+
+    /** The commit that charged it is made. */
+    void adopt(String team, Account a) {
+        accounts.put(team, a);
+        dirty.remove(team);
+    }
+
+    /** Whether this very attempt was charged to be stopped on purpose, by whichever leader. */
+    boolean isCharged(String team, Placement p) {
+        Account a = accounts.get(team);
+        Account.Away away = a == null ? null : a.away().get(p.task);
+        return away != null && away.attempt() == p.attempt;
+    }
+
+    // ---- what is over ----
+
+    void tick() {
+        if (!on || !read || turn.now().before(next)) {
+            return;
+        }
+        next = turn.now().plusMs(EVERY_MS);
+        accounts.forEach((team, a) -> {
+            a.fold(turn.wallMs());
+            a.away().forEach((t, away) -> settle(team, a, t, away));
+        });
+        if (!dirty.isEmpty() && !turn.now().before(nextWrite) && writes.available(turn.now()) >= PLENTY * writes.most()) {
+            nextWrite = turn.now().plusMs(WRITE_EVERY_MS);
+            write();
+        }
+    }
+
+    private void settle(String team, Account a, TaskId t, Account.Away away) {
+        Job j = book.job(t.job());
+        Placement p = j == null ? null : j.record.live.get(t.index());
+        boolean over = j == null && !book.unreadable(t.job()) || j != null && (j.record.cancelled() || j.record.done.contains(t.index()));
+        if (over || p != null && p.attempt > away.attempt() && p.running != null) {
+            a.back(t);
+            dirty.add(team);
+        } else if (p != null && p.attempt == away.attempt() && !p.killSent && !moving.test(p.host) && turn.wallMs() - away.atMs() > NEVER_STOPPED_MS) {
+            LOG.info("{} was to leave {} and never had to: its charge is given back", t, p.host);
+            a.undo(t);
+            dirty.add(team);
+        }
+    }
+
+    private void write() {
+        Txn txn = election.guarded();
+        Set<String> teams = new HashSet<>();
+        for (String team : dirty) {
+            if (teams.size() < MOST_IN_ONE && fits(accounts.get(team))) {
+                teams.add(team);
+                into(txn, team, accounts.get(team));
+            }
+        }
+        dirty.removeAll(teams);
+        requests.take(turn.now(), 1);
+        writes.take(turn.now(), txn.ops());
+        long reign = book.reign();
+        store.commit(txn, c -> {
+            if (reign == book.reign() && c.result() != Commit.Result.DONE) {
+                dirty.addAll(teams);
+            }
+        });
+    }
+
+    /** What each team's budget is, and how much of it is used. */
+    ObjectNode view(Budgets budgets) {
+        ObjectNode out = Codec.map();
+        ArrayNode rows = out.putArray("budgets");
+        Set<String> teams = new HashSet<>(settings.teams().keySet());
+        teams.addAll(accounts.keySet());
+        Map<String, DisruptionBudget> all = new HashMap<>();
+        teams.forEach(t -> all.put(t, budgets.ofTeam(t)));
+        budgets.all().stream().filter(b -> b.jobClass() != null).forEach(b -> all.put(b.key(), b));
+        new TreeMap<>(all).forEach((key, b) -> {
+            String team = b.jobClass() == null ? key : b.team();
+            Account a = accounts.getOrDefault(team, new Account());
+            Account.Sum hour = a.lastHour(b.jobClass(), turn.wallMs());
+            ObjectNode n = rows.addObject().put("team", team).put("class", b.jobClass()).put("of", b.key()).put("atOnce", b.atOnce())
+                    .put("away", a.away().values().stream().filter(w -> b.jobClass() == null || b.jobClass().equals(w.jobClass())).count())
+                    .put("lostCpuSPerHour", b.lostCpuSPerHour()).put("lostCpuSLastHour", Math.round(hour.cpuS())).put("tasksLastHour", hour.tasks())
+                    .put("leastUp", b.leastUp()).put("againS", b.againS());
+            ObjectNode causes = n.putObject("sums");
+            a.sums().forEach((row, s) -> {
+                if (b.jobClass() == null || row.startsWith(b.jobClass() + " ")) {
+                    causes.putArray(row).add(s.tasks()).add(Math.round(s.cpuS()));
+                }
+            });
+        });
+        return out;
+    }
+}
--- /dev/null
+++ b/src/main/java/org/beechhoist/core/DrainApi.java
@@ -0,0 +1,198 @@
+package org.beechhoist.core;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.time.LocalDate;
+import java.util.Set;
+import java.util.TreeSet;
+import java.util.function.Predicate;
+import org.beechhoist.config.Settings;
+import org.beechhoist.cron.Calendar;
+import org.beechhoist.cron.ScheduleKeys;
+import org.beechhoist.drain.DisruptionBudget;
+import org.beechhoist.drain.Drain;
+import org.beechhoist.store.Budget;
+import org.beechhoist.store.StoreClient;
+import org.beechhoist.wire.Codec;
+import org.beechhoist.wire.Malformed;
+
+/** {@code /v1/drains} and {@code /v1/budgets}: operators have machines emptied or replaced, and say how much may be disturbed for it. */
+final class DrainApi {
+    static final String DRAINS = "/v1/drains";
+    static final String BUDGETS = "/v1/budgets";
+    private static final int MOST_DRAINS = 40;
+    private static final int MOST_TEXT = 120;
+
+    private final Turn turn;
+    private final Settings settings;
+    private final StoreClient store;
+    private final Budget requests;
+    private final DrainBook drains;
+    private final Amending amending;
+
+    DrainApi(Turn turn, Settings settings, StoreClient store, Budget requests, Budget writes, DrainBook drains) {
+        this.turn = turn;
+        this.settings = settings;
+        this.store = store;
+        this.requests = requests;
+        this.drains = drains;
+        this.amending = new Amending(turn, store, requests, writes);
+    }
+
+    static boolean mine(String path) {
+        return path.equals(DRAINS) || path.equals(BUDGETS) || path.startsWith(DRAINS + "/") || path.startsWith(BUDGETS + "/");
+    }
+
+    /** @param desk null on a node that does not lead: it knows no plan */
+    void request(String method, String path, byte[] body, DrainDesk desk, CronApi.Answer answer) {
+        boolean budgets = path.startsWith(BUDGETS);
+        String base = budgets ? BUDGETS : DRAINS;
+        String rest = path.length() > base.length() ? path.substring(base.length() + 1) : "";
+        int slash = rest.lastIndexOf('/');
+        String name = slash < 0 ? rest : rest.substring(0, slash);
+        String verb = slash < 0 ? "" : rest.substring(slash + 1);
+        try {
+            JsonNode n = method.equals("POST") ? Codec.decodeMap(body) : null;
+            if (!drains.read()) {
+                Amending.unknown(answer);
+            } else if (n == null && verb.isEmpty()) {
+                show(budgets, name, desk, answer);
+            } else if (n == null) {
+                answer.with(404, Amending.error("no such path"));
+            } else if (budgets) {
+                budget(name, verb, n, answer);
+            } else {
+                drain(name, verb, n, desk, answer);
+            }
+        } catch (Malformed e) {
+            answer.with(400, Amending.error(e.getMessage()));
+        }
+    }
+
+    private static String text(JsonNode n, String field) throws Malformed {
+        String s = Codec.text(n, field);
+        if (s.isBlank() || s.length() > MOST_TEXT) {
+            throw new Malformed(field + " = " + s + ": 1 to " + MOST_TEXT + " characters are expected");
+        }
+        return s;
+    }
+
+    private void show(boolean budgets, String name, DrainDesk desk, CronApi.Answer answer) {
+        if (!budgets && !name.isEmpty() && drains.known(name) == null) {
+            answer.with(404, Amending.error("name = " + name + ": the name of a drain is expected"));
+        } else if (desk == null) {
+            answer.with(421, Amending.error("this node does not lead: how far it has come is not known here"));
+        } else if (budgets) {
+            answer.with(200, desk.budgets());
+        } else {
+            answer.with(200, name.isEmpty() ? desk.view() : desk.view(drains.known(name)));
+        }
+    }
+
+    // ---- drains ----
+
+    private void drain(String name, String verb, JsonNode n, DrainDesk desk, CronApi.Answer answer) throws Malformed {
+        if (verb.equals("plan")) {
+            Drain described = Drain.described(name, n, turn.wallMs());
+            answer.with(desk == null ? 421 : 200, desk == null ? Amending.error("this node does not lead: it knows no plan") : desk.foresee(described));
+            return;
+        }
+        String who = text(n, "who");
+        String why = text(n, "why");
+        switch (verb) {
+            case "put" -> put(name, n, who, why, answer);
+            case "pause" -> change(name, Drain.State.PAUSED, "paused", who, why, answer);
+            case "resume" -> change(name, Drain.State.RUNNING, "resumed", who, why, answer);
+            case "abort" -> change(name, Drain.State.ABORTED, "aborted", who, why, answer);
+            case "remove" -> amending.change(DrainBook.DRAINS + name, before -> {
+                if (before == null) {
+                    throw new Amending.Refused(404, "name = " + name + ": the name of a drain is expected");
+                }
+                if (Drain.parse(before).state() != Drain.State.ABORTED && (desk == null || !desk.over(name))) {
+                    throw new Amending.Refused(409, "name = " + name + ": a drain that is over, or aborted, is expected; the leading node knows");
+                }
+                return null;
+            }, answer);
+            default -> answer.with(404, Amending.error("no such path"));
+        }
+    }
+
+    private void change(String name, Drain.State to, String what, String who, String why, CronApi.Answer answer) {
+        amending.change(DrainBook.DRAINS + name, before -> {
+            if (before == null) {
+                throw new Amending.Refused(404, "name = " + name + ": the name of a drain is expected");
+            }
+            Drain d = Drain.parse(before);
+            if (d.state() == Drain.State.ABORTED) {
+                throw new Amending.Refused(409, "name = " + name + ": it was aborted; put it again");
+            }
+            return d.to(to, what, who, turn.wallMs(), why).toNode();
+        }, answer);
+    }
+
+    private void put(String name, JsonNode n, String who, String why, CronApi.Answer answer) throws Malformed {
+        Drain described = Drain.described(name, n, turn.wallMs());
+        if (described.which().zone() != null && !settings.zones().contains(described.which().zone())) {
+            throw new Malformed("zone = " + described.which().zone() + ": one of " + new TreeSet<>(settings.zones()) + " is expected");
+        }
+        if (drains.known(name) == null && drains.drains().size() >= MOST_DRAINS) {
+            throw new Malformed("name = " + name + ": at most " + MOST_DRAINS + " drains are allowed; remove some that are over");
+        }
+        String calendar = described.rest().calendar();
+        if (calendar == null) {
+            commit(name, described, who, why, answer);
+            return;
+        }
+        requests.take(turn.now(), 1);
+        store.get(ScheduleKeys.CALENDARS + calendar, r -> {
+            if (!r.known()) {
+                Amending.unknown(answer);
+                return;
+            }
+            try {
+                if (r.item() == null) {
+                    throw new Malformed("calendar = " + calendar + ": an installed calendar is expected");
+                }
+                Calendar c = Calendar.parse(r.item().value(), calendar);
+                Predicate<LocalDate> closed = d -> c.closed(d) != null;
+                commit(name, described.with(described.rest().with(closed, turn.wallMs())), who, why, answer);
+            } catch (Malformed e) {
+                answer.with(400, Amending.error(e.getMessage()));
+            }
+        });
+    }
+
+    private void commit(String name, Drain described, String who, String why, CronApi.Answer answer) {
+        amending.change(DrainBook.DRAINS + name, before -> described.put(before == null ? null : Drain.parse(before), who, turn.wallMs(), why).toNode(), answer);
+    }
+
+    // ---- budgets ----
+
+    private void budget(String key, String verb, JsonNode n, CronApi.Answer answer) throws Malformed {
+        String who = text(n, "who");
+        String why = text(n, "why");
+        if (verb.equals("remove")) {
+            amending.change(DrainBook.BUDGETS + key, before -> {
+                if (before == null) {
+                    throw new Amending.Refused(404, "name = " + key + ": the team, or team~class, of a budget is expected");
+                }
+                return null;
+            }, answer);
+            return;
+        }
+        if (!verb.equals("put")) {
+            answer.with(404, Amending.error("no such path"));
+            return;
+        }
+        DisruptionBudget described = DisruptionBudget.described(n, who, turn.wallMs(), why, 1);
+        Set<String> teams = new TreeSet<>(settings.teams().keySet());
+        if (!described.team().equals(DisruptionBudget.DEFAULT) && !teams.contains(described.team())) {
+            throw new Malformed("team = " + described.team() + ": " + DisruptionBudget.DEFAULT + ", or one of " + teams + ", is expected");
+        }
+        if (!described.key().equals(key)) {
+            throw new Malformed("name = " + key + ": " + described.key() + " is expected");
+        }
+        amending.change(DrainBook.BUDGETS + key, before -> DisruptionBudget.described(n, who, turn.wallMs(), why,
+                before == null ? 1 : DisruptionBudget.parse(before).number() + 1).toNode(), answer);
+    }
+}
--- /dev/null
+++ b/src/main/java/org/beechhoist/core/DrainBook.java
@@ -0,0 +1,102 @@
+package org.beechhoist.core;
+
+import java.util.Comparator;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import org.beechhoist.drain.Budgets;
+import org.beechhoist.drain.DisruptionBudget;
+import org.beechhoist.drain.Drain;
+import org.beechhoist.store.Budget;
+import org.beechhoist.store.StoreClient;
+import org.beechhoist.wire.Malformed;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** What a node knows of drains and budgets of disruption: read once, then followed. */
+final class DrainBook {
+    static final String PREFIX = "dr/put/";
+    static final String DRAINS = PREFIX + "d/";
+    static final String BUDGETS = PREFIX + "b/";
+    private static final Logger LOG = LoggerFactory.getLogger(DrainBook.class);
+
+    private final Turn turn;
+    private final StoreClient store;
+    private final Budget requests;
+    private final Runnable changed;
+    private final Map<String, Drain> drains = new TreeMap<>();
+    private final Map<String, DisruptionBudget> declared = new TreeMap<>();
+    private List<Drain> ordered = List.of();
+    private Budgets budgets = Budgets.NONE;
+    private boolean read;
+
+    DrainBook(Turn turn, StoreClient store, Budget requests, Runnable changed) {
+        this.turn = turn;
+        this.store = store;
+        this.requests = requests;
+        this.changed = changed;
+    }
+
+    void start() {
+        new Following(turn, store, requests, PREFIX, () -> {
+            drains.clear();
+            declared.clear();
+        }, this::take, this::changes).start();
+    }
+
+    boolean read() {
+        return read;
+    }
+
+    /** The earliest first: a machine that several match is the first one's. */
+    List<Drain> drains() {
+        return ordered;
+    }
+
+    Drain known(String name) {
+        return drains.get(name);
+    }
+
+    Budgets budgets() {
+        return budgets;
+    }
+
+    private void take(StoreClient.Item i) {
+        try {
+            if (i.key().startsWith(DRAINS)) {
+                String name = i.key().substring(DRAINS.length());
+                if (i.value() == null) {
+                    drains.remove(name);
+                } else {
+                    Drain d = Drain.parse(i.value());
+                    if (!d.name().equals(name)) {
+                        throw new Malformed("name = " + d.name() + ": it stands at " + i.key());
+                    }
+                    drains.put(name, d);
+                }
+            } else if (i.key().startsWith(BUDGETS)) {
+                String key = i.key().substring(BUDGETS.length());
+                if (i.value() == null) {
+                    declared.remove(key);
+                } else {
+                    declared.put(key, DisruptionBudget.parse(i.value()));
+                }
+            }
+        } catch (Malformed | RuntimeException e) {
+            // A drain that can't be read empties nothing; a budget that can't be read is as it was before.
+            LOG.error("{} can't be read: {}", i.key(), e.getMessage());
+            drains.remove(i.key().startsWith(DRAINS) ? i.key().substring(DRAINS.length()) : "");
+        }
+    }
+
+    private void changes(List<StoreClient.Item> log) {
+        log.forEach(this::take);
+        if (read && log.isEmpty()) {
+            return;
+        }
+        read = true;
+        ordered = drains.values().stream().sorted(Comparator.comparingLong(Drain::atMs).thenComparing(Drain::name)).toList();
+        budgets = new Budgets(declared.values());
+        changed.run();
+    }
+}
--- a/src/main/java/org/beechhoist/core/Elastic.java
+++ b/src/main/java/org/beechhoist/core/Elastic.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import org.beechhoist.config.Policy;
+import org.beechhoist.drain.Cause;
 import org.beechhoist.elastic.Ending;
 import org.beechhoist.elastic.Sure;
 import org.beechhoist.elastic.Surplus;
@@ -201,7 +202,7 @@
                 p.leavesAt = again.freesAtMs();
             } else {
                 ended.merge(end.way(), 1, Integer::sum);
-                stopping.stop(p, end.way() == Ending.Way.KILL ? 0 : j.spec().saveS());
+                stopping.stop(p, end.way() == Ending.Way.KILL ? 0 : j.spec().saveS(), Cause.NARROWING);
             }
         }
     }
--- a/src/main/java/org/beechhoist/core/Host.java
+++ b/src/main/java/org/beechhoist/core/Host.java
@@ -47,6 +47,10 @@
     /** When this leadership last answered a report with 200; its worker's lease can't start later. */
     Tick lastAnswered;
     Tick noticeEnds;
+    /** The drain that empties it, or null; nothing new is placed there. */
+    String cordonedBy;
+    /** The replacement that it stands by for, or null: it is not returned for being idle. */
+    String spareOf;
 
     /** Where the records say that tasks may be on it. */
     final Map<TaskId, Placement> placements = new HashMap<>();
@@ -115,9 +119,9 @@
         callsLost = true;
     }
 
-    /** It is about to be taken or returned: nothing new is launched there, whatever was decided before. */
+    /** It is about to be taken, returned or emptied: nothing new is launched there, whatever was decided before. */
     boolean going() {
-        return noticeEnds != null || returning;
+        return noticeEnds != null || returning || cordonedBy != null;
     }
 
     /** Tasks given to it that it has shown, or that it has not. */
--- a/src/main/java/org/beechhoist/core/Leader.java
+++ b/src/main/java/org/beechhoist/core/Leader.java
@@ -9,6 +9,7 @@
 import java.util.SplittableRandom;
 import org.beechhoist.config.Policy;
 import org.beechhoist.config.Settings;
+import org.beechhoist.drain.Budgets;
 import org.beechhoist.plan.Plan;
 import org.beechhoist.release.Release;
 import org.beechhoist.store.Budget;
@@ -61,10 +62,12 @@
     private final KeyHolds holds;
     private final ReleaseDesk releases;
     private final MoveDesk moves;
+    private final Notices notices;
+    private final DrainDesk drains;
 
     Leader(Turn turn, Settings settings, Policy policy, SplittableRandom random, StoreClient store,
             Election election, Budget requests, Budget writes, Types types, UserApi users, OnceKeys onceKeys,
-            Peers peers, KeyBook keys, ReleaseBook releaseBook) {
+            Peers peers, KeyBook keys, ReleaseBook releaseBook, DrainBook drainBook) {
         this.peers = peers;
         this.turn = turn;
         this.settings = settings;
@@ -105,7 +108,8 @@
                 }
             }
         });
-        Stopping stopping = new Stopping(book, orders);
+        Disruptions disruptions = new Disruptions(turn, settings, store, election, requests, writes, book, drainBook != null);
+        Stopping stopping = new Stopping(book, orders, disruptions);
         this.departures = new Departures(book, orders, stopping, recovery);
         this.holds = new KeyHolds(turn, settings, book, orders, departures, keys);
         this.committer = new Committer(turn, settings, store, election, requests, writes, book, loading, sizes, log, holds, peers::allHeard,
@@ -140,10 +144,14 @@
         this.releases = new ReleaseDesk(turn, store, election, requests, writes, book, estimates, admission, releaseBook);
         ordering.releases(releases);
         this.dispatch = new Dispatch(turn, book, admission, estimates, elastic, types);
-        this.moves = new MoveDesk(turn, policy, store, election, requests, writes, types, book, admission, stopping, orders, dispatch);
+        this.moves = new MoveDesk(turn, policy, store, election, requests, writes, types, book, admission, stopping, orders, dispatch, disruptions,
+                () -> drainBook == null ? Budgets.NONE : drainBook.budgets());
+        disruptions.moving(moves::moves);
+        provisioner.kept(h -> !moves.keptOn(h).isEmpty());
         admission.keeps(moves);
+        this.notices = new Notices(turn, book, estimates, stopping, orders);
         this.planner = new Planner(turn, settings, policy, random, types, book, estimates, ordering, admission,
-                provisioner, elastic, starting, moves);
+                provisioner, elastic, starting, moves, notices);
         this.narrowing = new Narrowing(turn, policy, types, book, ordering, admission, provisioner.renting(),
                 elastic);
         this.preemption = new Preemption(turn, policy, types, book, ordering, admission, stopping);
@@ -152,6 +160,8 @@
         this.notes = policy.fleetNotes() ? new FleetNotes(turn, settings, store, election, requests, writes, book) : null;
         this.floor = policy.servedFloor() ? new ServedFloor(turn, settings, store, election, requests, writes, book, estimates, ordering,
                 h -> types.get(h.type) == null ? 0 : types.get(h.type).cpus()) : null;
+        this.drains = new DrainDesk(turn, settings, store, election, requests, writes, book, types, admission, stopping, orders, provisioner, elastic, moves,
+                disruptions, new Rollouts(turn, book, provisioner, faults, ordering, recovery, () -> floor == null ? Map.of() : floor.shares()), drainBook);
         this.overload = policy.triage()
                 ? new Overload(turn, settings, types, book, estimates, ordering, admission, provisioner.renting(),
                 () -> floor == null ? Map.of() : floor.shares(), j -> floor == null ? ServedFloor.groups(j.spec()) : floor.groups(j)) : null;
@@ -165,6 +175,7 @@
         provisioner.reset(election.baton());
         releases.begin();
         moves.begin();
+        drains.begin();
         loading.reload();
         if (notes != null) {
             notes.begin();
@@ -249,6 +260,10 @@
         return releases;
     }
 
+    DrainDesk drains() {
+        return drains;
+    }
+
     Book book() {
         return book;
     }
@@ -297,6 +312,7 @@
             orders.direct(h);
         }
         holds.tick();
+        notices.tick();
         for (Job j : book.jobs()) {
             if (j.record.cancelled()) {
                 overdue(j, j.record.cancelWallMs + settings.workers().cancelMs() - (long) settings.clockErrorMs(), "cancelled");
@@ -313,6 +329,7 @@
         logStalled();
         releases.tick(planner);
         moves.tick(planner.current());
+        drains.tick(planner);
         if (notes != null) {
             notes.tick();
         }
--- a/src/main/java/org/beechhoist/core/MoveDesk.java
+++ b/src/main/java/org/beechhoist/core/MoveDesk.java
@@ -11,7 +11,12 @@
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.function.Consumer;
+import java.util.function.Supplier;
 import org.beechhoist.config.Policy;
+import org.beechhoist.drain.Account;
+import org.beechhoist.drain.Budgets;
+import org.beechhoist.drain.Cause;
+import org.beechhoist.drain.DisruptionBudget;
 import org.beechhoist.packing.Moves;
 import org.beechhoist.packing.Sizes;
 import org.beechhoist.plan.Plan;
@@ -22,7 +27,6 @@
 import org.beechhoist.store.Txn;
 import org.beechhoist.wire.Codec;
 import org.beechhoist.wire.HostId;
-import org.beechhoist.wire.HostType;
 import org.beechhoist.wire.JobRef;
 import org.beechhoist.wire.JobSpec;
 import org.beechhoist.wire.TaskId;
@@ -44,38 +48,35 @@
     /** A task is not moved again so soon. */
     private static final long AGAIN_MS = 300_000;
     private static final int MOST_ROOMS = 4;
-    private static final int MOST_OF_TEAM = 3;
-    /** Who begins this soon by the plan needs no room made. */
-    private static final long SOON_MS = 10_000;
-    private static final long LONGEST_GAIN_MS = 240_000;
-    /** What moving costs, in GPU seconds, against what the large task gains. */
-    private static final double WORTH = 0.5;
-    private static final double PROVED_GONE_S = 3;
-    private static final double HARDLY_BEGUN_S = 15;
     private static final long AGAIN_READ_MS = 700;
 
-    /** Room that is being made on a machine. */
+    /** Tasks that leave a machine, each with a place kept: for a large one's sake, or because the machine is emptied. */
     private static final class Making {
         private final HostId host;
+        /** Null where the machine is emptied. */
         private final JobRef forJob;
+        /** Whose machine it is, where it is emptied; else null. */
+        private final String drain;
         private final long sinceMs;
         private final Map<TaskId, HostId> to = new TreeMap<>((a, b) -> a.toString().compareTo(b.toString()));
 
-        private Making(HostId host, JobRef forJob, long sinceMs) {
+        private Making(HostId host, JobRef forJob, String drain, long sinceMs) {
             this.host = host;
             this.forJob = forJob;
+            this.drain = drain;
             this.sinceMs = sinceMs;
         }
 
         private ObjectNode toNode() {
-            ObjectNode n = Codec.map().put("for", forJob.text()).put("at", sinceMs);
+            ObjectNode n = Codec.map().put("for", forJob == null ? null : forJob.text()).put("drain", drain).put("at", sinceMs);
             ArrayNode rows = n.putArray("moves");
             to.forEach((t, h) -> rows.add(t.toString()).add(h.text()));
             return n;
         }
 
         private static Making parse(String key, JsonNode n) {
-            Making m = new Making(new HostId(key.substring(PREFIX.length())), new JobRef(n.path("for").asText()), n.path("at").asLong());
+            Making m = new Making(new HostId(key.substring(PREFIX.length())), n.hasNonNull("for") ? new JobRef(n.path("for").asText()) : null,
+                    n.hasNonNull("drain") ? n.path("drain").asText() : null, n.path("at").asLong());
             for (int i = 0; i + 1 < n.path("moves").size(); i += 2) {
                 TaskId t = TaskId.parse(n.get("moves").get(i).asText());
                 if (t != null) {
@@ -84,6 +85,10 @@
             }
             return m;
         }
+
+        private String why() {
+            return drain != null ? "drain " + drain : "room for " + forJob;
+        }
     }
 
     private final Turn turn;
@@ -98,6 +103,8 @@
     private final Stopping stopping;
     private final Orders orders;
     private final Dispatch dispatch;
+    private final MoveSearch search;
+    private final Disruptions disruptions;
     private final Map<HostId, Making> making = new TreeMap<>();
     /** By the time of day when a task was last moved. */
     private final Map<TaskId, Long> moved = new HashMap<>();
@@ -107,7 +114,7 @@
     private long nextLook;
 
     MoveDesk(Turn turn, Policy policy, StoreClient store, Election election, Budget requests, Budget writes, Types types, Book book, Admission admission,
-            Stopping stopping, Orders orders, Dispatch dispatch) {
+            Stopping stopping, Orders orders, Dispatch dispatch, Disruptions disruptions, Supplier<Budgets> budgets) {
         this.turn = turn;
         this.policy = policy;
         this.store = store;
@@ -120,6 +127,20 @@
         this.stopping = stopping;
         this.orders = orders;
         this.dispatch = dispatch;
+        this.disruptions = disruptions;
+        this.search = new MoveSearch(turn, types, book, admission, (j, p) -> !policy.drains() || mayDisturb(budgets.get(), j, p));
+    }
+
+    /** Whether the budgets that somebody declared for its team and class allow that it is moved. */
+    private boolean mayDisturb(Budgets budgets, Job j, Placement p) {
+        JobSpec s = j.spec();
+        if (!budgets.declared(s.team(), s.jobClass())) {
+            return true;
+        }
+        Account a = disruptions.copies().getOrDefault(s.team(), new Account());
+        Account.Ask ask = new Account.Ask(p.task, s.jobClass(), s.service(), s.service() ? s.tasks() : 0, Disruptions.lostCpuS(s, p, turn.now()));
+        DisruptionBudget own = budgets.ofClass(s.team(), s.jobClass());
+        return disruptions.known() && a.refuses(budgets.ofTeam(s.team()), ask, turn.wallMs()) == null && (own == null || a.refuses(own, ask, turn.wallMs()) == null);
     }
 
     /** A new leadership begins: what the last one had in hand is read before anything is moved. */
@@ -136,7 +157,7 @@
     }
 
     private boolean on() {
-        return policy.moves() && gpus();
+        return policy.moves() && gpus() || policy.drains();
     }
 
     private boolean gpus() {
@@ -161,7 +182,7 @@
             for (StoreClient.Item i : page.items()) {
                 Making m = Making.parse(i.key(), i.value());
                 making.put(m.host, m);
-                LOG.info("room on {} for {} is gone on with: {} moves", m.host, m.forJob, m.to.size());
+                LOG.info("{}, {}: it is gone on with, {} moves", m.host, m.why(), m.to.size());
             }
             if (recent.item() != null) {
                 recent.item().value().properties().forEach(e -> {
@@ -198,7 +219,7 @@
     int roomsFor(Job j) {
         int n = 0;
         for (Making m : making.values()) {
-            n += m.forJob.equals(j.ref()) && !there(m) ? 1 : 0;
+            n += j.ref().equals(m.forJob) && !there(m) ? 1 : 0;
         }
         return n;
     }
@@ -234,7 +255,7 @@
     /** Whether the room on the machine is kept for another job than this one. */
     boolean keptFromOthers(HostId host, JobRef job) {
         Making m = making.get(host);
-        return m != null && !m.forJob.equals(job);
+        return m != null && !job.equals(m.forJob);
     }
 
     private boolean onItsWay(Making m, TaskId t) {
@@ -250,7 +271,7 @@
 
     /** Whether the one that room was made for is there. */
     private boolean there(Making m) {
-        Job j = book.job(m.forJob);
+        Job j = m.forJob == null ? null : book.job(m.forJob);
         return j != null && j.record.live.values().stream().anyMatch(p -> p.host.equals(m.host));
     }
 
@@ -284,15 +305,18 @@
         for (Making m : List.copyOf(making.values())) {
             goOn(m);
         }
-        if (plan != null && turn.now().ms() >= nextLook && !writing && making.size() < MOST_ROOMS) {
+        long rooms = making.values().stream().filter(m -> m.forJob != null).count();
+        if (plan != null && policy.moves() && gpus() && turn.now().ms() >= nextLook && !writing && rooms < MOST_ROOMS) {
             nextLook = turn.now().ms() + LOOK_EVERY_MS;
             look(plan);
         }
     }
 
     private void goOn(Making m) {
-        Job large = book.job(m.forJob);
-        boolean senseless = large == null || large.record.cancelled() || large.hold != null || turn.wallMs() - m.sinceMs > LONGEST_MS
+        Job large = m.forJob == null ? null : book.job(m.forJob);
+        Host from = book.known(m.host);
+        boolean senseless = m.drain != null ? from == null || !m.drain.equals(from.cordonedBy) || turn.wallMs() - m.sinceMs > LONGEST_MS
+                : large == null || large.record.cancelled() || large.hold != null || turn.wallMs() - m.sinceMs > LONGEST_MS
                 || large.record.waitingCount() == 0 && !there(m);
         boolean over = true;
         for (Map.Entry<TaskId, HostId> e : List.copyOf(m.to.entrySet())) {
@@ -302,8 +326,8 @@
                 if (senseless && !p.killSent) {
                     m.to.remove(e.getKey()); // it stays where it is
                 } else if (!p.killSent && p.sent && mayLeave(j)) {
-                    LOG.info("{} is moved from {} to {}, to make room for {}", e.getKey(), m.host, e.getValue(), m.forJob);
-                    stopping.stop(p);
+                    LOG.info("{} is moved from {} to {}: {}", e.getKey(), m.host, e.getValue(), m.why());
+                    stopping.stop(p, m.drain != null ? Cause.DRAIN : Cause.MOVE);
                     orders.direct(book.host(m.host));
                     over = false;
                 } else {
@@ -319,8 +343,8 @@
             }
         }
         boolean taken = there(m);
-        if (over && (taken || senseless)) {
-            finish(m, taken ? "it is taken" : "it is not needed any more");
+        if (over && (taken || senseless || m.drain != null)) {
+            finish(m, m.drain != null ? "all have left" : taken ? "it is taken" : "it is not needed any more");
         }
     }
 
@@ -328,7 +352,7 @@
         if (writing) {
             return;
         }
-        LOG.info("room on {} for {}: {}", m.host, m.forJob, why);
+        LOG.info("{}, {}: {}", m.host, m.why(), why);
         ObjectNode recent = Codec.map();
         moved.forEach((t, at) -> recent.put(t.toString(), at));
         write(election.guarded().delete(PREFIX + m.host.text()).put(RECENT, recent), c -> {
@@ -355,110 +379,88 @@
     // ---- looking ----
 
     private void look(Plan plan) {
-        Map<String, double[]> used = book.usedByTeams();
-        for (Job large : book.jobs()) {
-            if (!lacksRoom(large, plan, used)) {
-                continue;
-            }
-            Moves.Found f = Moves.cheapest(room(large.spec()), machines(large), this::allowed, sizes());
-            long waits = plan.plannedStart(large.ref()) == null ? LONGEST_GAIN_MS
-                    : Math.min(LONGEST_GAIN_MS, plan.plannedStart(large.ref()) - turn.now().ms());
-            if (f != null && f.cost() <= WORTH * large.spec().gpus() * waits / 1000) {
-                make(large, f);
-                return;
-            }
+        MoveSearch.Wish w = search.look(plan, new MoveSearch.InHand(tasksInHand(), making.keySet(), moved.keySet(), this::roomsFor, this::zoneOfRooms), sizes());
+        if (w != null) {
+            make(w.large(), w.found());
         }
     }
 
-    private boolean lacksRoom(Job j, Plan plan, Map<String, double[]> used) {
-        JobSpec s = j.spec();
-        boolean plain = s.gpus() > 1 && !s.gang() && !s.sameZone() && !s.apart();
-        if (!plain || j.record.cancelled() || j.hold != null || j.suspect() || j.behind || j.record.waitingCount() <= roomsFor(j) || j.notBefore.ms() > turn.now().ms()
-                || turn.now().since(j.submitted) < LOOK_EVERY_MS || admission.overLimit(j, used)) {
-            return false;
-        }
-        Long start = plan.plannedStart(j.ref());
-        return start == null || start > turn.now().ms() + SOON_MS;
+    private Set<TaskId> tasksInHand() {
+        Set<TaskId> out = new HashSet<>();
+        making.values().forEach(m -> out.addAll(m.to.keySet()));
+        return out;
     }
 
-    private static Moves.Room room(JobSpec s) {
-        return new Moves.Room(s.cpus(), s.gpus(), s.memGb());
+    /** Where room is being made for the job, or null. */
+    private String zoneOfRooms(Job j) {
+        return making.values().stream().filter(m -> m.forJob.equals(j.ref()) && book.known(m.host) != null).map(m -> book.known(m.host).zone).findFirst().orElse(null);
     }
 
-    private boolean allowed(TaskId t, HostId id) {
-        Host h = book.known(id);
-        JobSpec s = book.job(t.job()).spec();
-        return h != null && s.mayRunOn(types.get(h.type), h.zone, h.spot);
+    /** Of a service one replica leaves at a time: the next once that one runs in its place. */
+    private static boolean mayLeave(Job j) {
+        return !j.spec().service() || MoveSearch.allThere(j);
     }
 
-    private List<Moves.Machine> machines(Job large) {
-        Set<TaskId> held = new HashSet<>();
-        Map<String, Integer> ofTeam = new HashMap<>();
-        for (Making m : making.values()) {
-            held.addAll(m.to.keySet());
-            m.to.keySet().forEach(t -> ofTeam.merge(book.job(t.job()) == null ? "" : book.job(t.job()).spec().team(), 1, Integer::sum));
-        }
-        List<Moves.Machine> out = new ArrayList<>();
-        for (Host h : book.hosts()) {
-            HostType t = h.known() ? types.get(h.type) : null;
-            Admission.Room free = t == null || t.gpus() == 0 || !admission.usable(h) || making.containsKey(h.id) ? null : admission.free(h, t);
-            if (free == null) {
-                continue;
-            }
-            List<Moves.Movable> movable = new ArrayList<>();
-            boolean may = large.spec().mayRunOn(t, h.zone, h.spot);
-            for (Placement p : may ? h.placements.values() : List.<Placement>of()) {
-                Job j = book.job(p.task.job());
-                if (j != null && j != large && !held.contains(p.task) && mayMove(j, p, large, ofTeam)) {
-                    movable.add(new Moves.Movable(p.task, room(j.spec()), cost(j, p)));
-                }
+    private void make(Job large, Moves.Found f) {
+        Making m = new Making(f.host(), large.ref(), null, turn.wallMs());
+        f.moves().forEach(o -> m.to.put(o.task(), o.to()));
+        Txn txn = election.guarded().put(PREFIX + m.host.text(), m.toNode());
+        Map<String, Account> charged = charge(m);
+        charged.forEach((team, a) -> disruptions.into(txn, team, a));
+        // Nothing is stopped before it is written.
+        write(txn, c -> {
+            if (c.result() == Commit.Result.DONE) {
+                charged.forEach(disruptions::adopt);
+                making.put(m.host, m);
+                LOG.info("room on {} for {}: {} tasks are moved, {} GPU s", m.host, m.forJob, m.to.size(), Math.round(f.cost()));
+                book.replan();
             }
-            out.add(new Moves.Machine(h.id, new Moves.Room(free.cpus(), free.gpus(), free.memGb()), may, movable));
-        }
-        return out;
+        });
     }
 
-    /** Equal urgency may be moved, more urgent work is left alone; and what needs others, a place, or has done much that it can't save. */
-    private boolean mayMove(Job j, Placement p, Job large, Map<String, Integer> ofTeam) {
-        JobSpec s = j.spec();
-        if (!p.sent || p.killSent || p.running == null || s.gang() || s.sameZone() || s.apart() || j.record.cancelled() || s.gpus() >= large.spec().gpus()
-                || s.urgency().compareTo(large.spec().urgency()) < 0 || moved.containsKey(p.task) || ofTeam.getOrDefault(s.team(), 0) >= MOST_OF_TEAM) {
-            return false;
+    /** What moving costs their teams, where accounts are kept. */
+    private Map<String, Account> charge(Making m) {
+        Map<String, Account> out = new TreeMap<>();
+        if (!policy.drains()) {
+            return out;
         }
-        if (s.service()) {
-            // One replica away at a time, and never the only one.
-            return s.tasks() > 1 && allThere(j);
+        Map<String, Account> all = disruptions.copies();
+        for (TaskId t : m.to.keySet()) {
+            Job j = book.job(t.job());
+            Placement p = j == null ? null : j.record.live.get(t.index());
+            if (p != null) {
+                Account a = all.computeIfAbsent(j.spec().team(), k -> new Account());
+                a.charge(t, new Account.Away(p.attempt, j.spec().jobClass(), Cause.MOVE, Disruptions.lostCpuS(j.spec(), p, turn.now()), turn.wallMs()));
+                out.put(j.spec().team(), a);
+            }
         }
-        return s.checkpointS() > 0 || turn.now().since(p.running) < 1000 * HARDLY_BEGUN_S;
+        return out;
     }
 
-    private static boolean allThere(Job j) {
-        return j.record.live.size() == j.spec().tasks() && j.record.live.values().stream().allMatch(o -> o.running != null && !o.killSent);
+    // ---- machines that are emptied ----
+
+    /** Whether tasks of the machine are on their way, or about to be. */
+    boolean moves(HostId host) {
+        return making.containsKey(host);
     }
 
-    /** Of a service one replica leaves at a time: the next once that one runs in its place. */
-    private static boolean mayLeave(Job j) {
-        return !j.spec().service() || allThere(j);
+    /** Whether what earlier leaders had in hand is known. */
+    boolean known() {
+        return read;
     }
 
-    private double cost(Job j, Placement p) {
-        JobSpec s = j.spec();
-        double ran = turn.now().since(p.running) / 1000.0;
-        double lost = s.service() || s.checkpointS() > 0 ? 0 : ran;
-        HostType t = types.get(book.host(p.host).type);
-        return s.gpus() * (s.saveS() + PROVED_GONE_S + s.imageGb() / t.fetchGbPerS() + lost);
+    /** Tasks leave a machine that is emptied, each for a place that is kept: written with the rest of the transaction. */
+    void relocate(Txn txn, HostId host, String drain, Map<TaskId, HostId> to) {
+        Making m = new Making(host, null, drain, turn.wallMs());
+        m.to.putAll(to);
+        txn.put(PREFIX + host.text(), m.toNode());
     }
 
-    private void make(Job large, Moves.Found f) {
-        Making m = new Making(f.host(), large.ref(), turn.wallMs());
-        f.moves().forEach(o -> m.to.put(o.task(), o.to()));
-        // Known from now on, so that nothing else is planned there; nothing is stopped before it is written.
-        write(election.guarded().put(PREFIX + m.host.text(), m.toNode()), c -> {
-            if (c.result() == Commit.Result.DONE) {
-                making.put(m.host, m);
-                LOG.info("room on {} for {}: {} tasks are moved, {} GPU s", m.host, m.forJob, m.to.size(), Math.round(f.cost()));
-                book.replan();
-            }
-        });
+    /** That transaction is made. */
+    void relocated(HostId host, String drain, Map<TaskId, HostId> to) {
+        Making m = new Making(host, null, drain, turn.wallMs());
+        m.to.putAll(to);
+        making.put(host, m);
+        book.replan();
     }
 }
--- a/src/main/java/org/beechhoist/core/Overload.java
+++ b/src/main/java/org/beechhoist/core/Overload.java
@@ -80,7 +80,8 @@
             overloaded |= !more;
             boolean begun = j.begun();
             long length = estimates.lengthMs(s);
-            demands.add(new Demand(j.ref(), groups.apply(j), j.lifted ? -1 : Ordering.usualRank(j), s.team(), s.cpus() * length * j.record.waitingCount(), length,
+            demands.add(new Demand(j.ref(), groups.apply(j), j.lifted ? -1 : Ordering.usualRank(j), s.team(), s.cpus() * length * j.record.waitingCount(),
+                    s.gpus() * length * j.record.waitingCount(), length,
                     due == null ? Demand.NO_DUE : due, late, more || begun || j.lifted || ordering.shipKey(j) != ShipOrder.NONE));
         }
         Set<JobRef> now = !overloaded ? Set.of() : Triage.behind(demands, means());
@@ -104,6 +105,8 @@
     private Means means() {
         double cpus = 0;
         double busy = 0;
+        double gpus = 0;
+        double busyGpus = 0;
         Map<String, Double> busyTeams = new HashMap<>();
         for (Host h : book.hosts()) {
             HostType t = h.known() && !h.returning ? types.get(h.type) : null;
@@ -111,14 +114,17 @@
                 continue;
             }
             cpus += t.cpus();
+            gpus += t.gpus();
             for (Placement p : h.placements.values()) {
                 Job j = book.job(p.task.job());
                 if (j != null && j.spec().service()) {
                     cpus -= j.spec().cpus();
+                    gpus -= j.spec().gpus();
                 } else if (j != null) {
-                    double left = Math.max(0, estimates.endOf(p, turn.now()).since(turn.now())) * j.spec().cpus();
-                    busy += left;
-                    busyTeams.merge(j.spec().team(), left, Double::sum);
+                    long left = Math.max(0, estimates.endOf(p, turn.now()).since(turn.now()));
+                    busy += left * j.spec().cpus();
+                    busyGpus += left * j.spec().gpus();
+                    busyTeams.merge(j.spec().team(), left * j.spec().cpus(), Double::sum);
                 }
             }
         }
@@ -128,6 +134,6 @@
                 teams.put(t.name(), new Means.Team(t.cpusMax(), busyTeams.getOrDefault(t.name(), 0.0)));
             }
         }
-        return new Means(turn.now().ms(), cpus, busy, teams, lately.get());
+        return new Means(turn.now().ms(), cpus, busy, gpus, busyGpus, teams, lately.get());
     }
 }
--- a/src/main/java/org/beechhoist/core/Planner.java
+++ b/src/main/java/org/beechhoist/core/Planner.java
@@ -51,6 +51,7 @@
     private final Elastic elastic;
     private final Starting starting;
     private final MoveDesk moves;
+    private final Notices notices;
     private Tick nextPlan = Tick.ZERO;
     private Plan plan;
     private RandomSearch<Arrangement> search;
@@ -63,8 +64,9 @@
 
     Planner(Turn turn, Settings settings, Policy policy, SplittableRandom random, Types types, Book book,
             Estimates estimates, Ordering ordering, Admission admission, Provisioner provisioner, Elastic elastic,
-            Starting starting, MoveDesk moves) {
+            Starting starting, MoveDesk moves, Notices notices) {
         this.moves = moves;
+        this.notices = notices;
         this.starting = starting;
         this.turn = turn;
         this.settings = settings;
@@ -178,7 +180,8 @@
         }
         for (Job j : book.jobs()) {
             for (Placement p : j.record.live.values()) {
-                long end = planned.contains(p.host) ? estimates.endOf(p, turn.now()).ms() : now + 3_600_000;
+                Host h = book.known(p.host);
+                long end = planned.contains(p.host) || h != null && (h.noticeEnds != null || h.cordonedBy != null) ? notices.endOf(h, p).ms() : now + 3_600_000;
                 next.use(j.spec().team(), end, j.spec().cpus(), j.spec().gpus());
             }
         }
--- a/src/main/java/org/beechhoist/core/Provisioner.java
+++ b/src/main/java/org/beechhoist/core/Provisioner.java
@@ -9,6 +9,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.function.BiConsumer;
+import java.util.function.Predicate;
 import org.beechhoist.config.Policy;
 import org.beechhoist.config.Settings;
 import org.beechhoist.plan.Plan;
@@ -32,6 +33,8 @@
     private static final long LIST_OVERDUE_MS = 15_000;
     private static final int REMEMBERED_GONE = 4000;
     private static final long SOON_HEARD_MS = 3000;
+    /** By then the cloud has taken it, or will at any moment; its answer proves that what was there is gone. */
+    private static final long NOTICE_OVER_MS = 500;
     /** How long a new leadership waits for the first list before it rents without. */
     private static final long FIRST_LIST_MS = 15_000;
 
@@ -55,6 +58,7 @@
     /** Whether this leadership has seen all machines once: before that, it would rent what it already has. */
     private boolean listed;
     private int returnCalls;
+    private Predicate<HostId> kept = h -> false;
 
     Provisioner(Turn turn, Settings settings, Policy policy, Election election, Types types, Book book, Ordering ordering,
             Estimates estimates, Faults faults, Departures departures,
@@ -86,6 +90,11 @@
         nextTurn = turn.now();
     }
 
+    /** Who knows which machines have a place that is kept for a task on its way. */
+    void kept(Predicate<HostId> by) {
+        kept = by;
+    }
+
     Renting renting() {
         return renting;
     }
@@ -223,9 +232,12 @@
                 giveBack(h, "it speaks but does not hear");
             } else if (h.noticeEnds != null && h.placements.isEmpty() && h.strangers == 0) {
                 giveBack(h, "it is about to be taken and empty");
+            } else if (h.noticeEnds != null && turn.now().since(h.noticeEnds) > NOTICE_OVER_MS) {
+                giveBack(h, "its notice has run out");
             } else if (faults.faulty(h)) {
                 giveBack(h, "jobs of several users failed on it");
-            } else if (!h.placements.isEmpty() || h.strangers > 0 || planned.contains(h.id)) {
+            } else if (!h.placements.isEmpty() || h.strangers > 0 || planned.contains(h.id) || h.cordonedBy != null || h.spareOf != null
+                    || kept.test(h.id)) {
                 h.idleSince = null;
             } else if (h.idleSince == null) {
                 h.idleSince = turn.now();
--- a/src/main/java/org/beechhoist/core/Recovery.java
+++ b/src/main/java/org/beechhoist/core/Recovery.java
@@ -157,6 +157,11 @@
         }
     }
 
+    /** Machines with work on them that were lost within the last so many ms, by the falls that go on. */
+    int machinesLost(long withinMs) {
+        return falls.stream().filter(f -> turn.now().since(f.last) <= withinMs).mapToInt(f -> f.machines.size()).sum();
+    }
+
     /** The falls of this leadership, the newest last. */
     ObjectNode view() {
         ObjectNode out = Codec.map();
--- a/src/main/java/org/beechhoist/core/Renting.java
+++ b/src/main/java/org/beechhoist/core/Renting.java
@@ -8,6 +8,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.function.Consumer;
 import org.beechhoist.config.Policy;
 import org.beechhoist.plan.Plan;
 import org.beechhoist.store.Budget;
@@ -282,15 +283,33 @@
         return cost < 0 || (cost == 0 && o.wanted < than.wanted);
     }
 
-    /** The name is never used for anything else; it is repeated until there is an answer. */
+    /**
+     * Rents machines that stand by, whatever the plan says; false where none may be asked for now.
+     *
+     * @param then told which were had, none perhaps
+     */
+    boolean spare(String type, String zone, boolean spot, int number, Consumer<List<HostId>> then) {
+        Offer o = offers().stream().filter(x -> x.type.name().equals(type) && x.zone.equals(zone) && x.spot == spot).findFirst().orElse(null);
+        if (o == null || turn.now().before(o.refusedUntil) || !calls.tryTake(turn.now(), 1)) {
+            return false;
+        }
+        rent(o, Math.min(MAX_RENTAL, number), "r-" + baton.value() + "-" + ++sequence, then);
+        return true;
+    }
+
     private void rent(Offer offer, int number, String name) {
+        rent(offer, number, name, hosts -> { });
+    }
+
+    /** The name is never used for anything else; it is repeated until there is an answer. */
+    private void rent(Offer offer, int number, String name, Consumer<List<HostId>> then) {
         offer.renting += number;
         ObjectNode body = Codec.map().put("rental", name).put("hosttype", offer.type.name())
                 .put("yard", offer.zone).put("loaner", offer.spot).put("number", number);
-        attempt(offer, number, name, body, turn.now());
+        attempt(offer, number, name, body, turn.now(), then);
     }
 
-    private void attempt(Offer asked, int number, String name, ObjectNode body, Tick first) {
+    private void attempt(Offer asked, int number, String name, ObjectNode body, Tick first, Consumer<List<HostId>> then) {
         long r = book.reign();
         turn.command(election.validUntil(), Calls.Target.CLOUD, null, "POST", "/machines", body, 5000, o -> {
             if (r != book.reign()) {
@@ -300,9 +319,9 @@
             if (o.ok() && o.body().path("hosts").isArray()) {
                 offer.renting -= number;
                 lastRented = turn.now();
-                int got = 0;
+                List<HostId> had = new ArrayList<>();
                 for (JsonNode n : o.body().get("hosts")) {
-                    got++;
+                    had.add(new HostId(n.asText()));
                     Host h = book.host(new HostId(n.asText()));
                     h.type = offer.type.name();
                     h.zone = offer.zone;
@@ -310,25 +329,29 @@
                     h.there = true;
                     h.rentedAt = first;
                 }
+                int got = had.size();
                 LOG.info("rental {}: {} of {} {} in {}{}", name, got, number, offer.type.name(), offer.zone,
                         offer.spot ? ", spot" : "");
                 offer.shortAt = got < number ? turn.now() : null;
                 if (got < number) {
                     offer.refusedUntil = turn.now().plusMs(NO_CAPACITY_PAUSE_MS);
                 }
+                then.accept(had);
             } else if (o.is(400)) {
                 offer.renting -= number;
                 offer.refusedUntil = turn.now().plusMs(300_000);
                 LOG.warn("rental {} is refused as malformed", name);
+                then.accept(List.of());
             } else if (o.is(503) && o.body() != null && "no capacity".equals(o.body().path("error").asText())) {
                 offer.renting -= number;
                 offer.shortAt = turn.now();
                 offer.refusedUntil = turn.now().plusMs(NO_CAPACITY_PAUSE_MS);
+                then.accept(List.of());
             } else {
                 turn.after(1500, () -> {
                     if (r == book.reign()) {
                         calls.take(turn.now(), 1);
-                        attempt(asked, number, name, body, first);
+                        attempt(asked, number, name, body, first, then);
                     }
                 });
             }
--- a/src/main/java/org/beechhoist/core/Reports.java
+++ b/src/main/java/org/beechhoist/core/Reports.java
@@ -275,18 +275,6 @@
             orders.add(Order.kill(p.task, p.attempt, 0));
         } else if (p.killSent && e.state() != HostReport.State.SAVING) {
             orders.add(Order.kill(p.task, p.attempt, j.spec().saveS())); // the first one may have been lost
-        } else if (h.noticeEnds != null && !p.killSent) {
-            drain(h, j, p, orders);
-        }
-    }
-
-    /** A machine about to be taken: what can't finish there stops now, so as to start elsewhere. */
-    private void drain(Host h, Job j, Placement p, List<Order> orders) {
-        long left = h.noticeEnds.since(turn.now());
-        long need = estimates.endOf(p, turn.now()).since(turn.now());
-        if (need > left) {
-            p.killSent = true;
-            orders.add(Order.kill(p.task, p.attempt, Math.max(0, left / 1000.0 - 1)));
         }
     }
 
--- /dev/null
+++ b/src/main/java/org/beechhoist/drain/DisruptionBudget.java
@@ -0,0 +1,95 @@
+package org.beechhoist.drain;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import org.beechhoist.wire.Codec;
+import org.beechhoist.wire.Malformed;
+
+/**
+ * How much of a team's work, or of one of its classes, may be disturbed on purpose.
+ *
+ * @param team {@link #DEFAULT}: of every team that has none of its own
+ * @param jobClass null: all of the team's
+ * @param atOnce tasks that may be away at once; 0: never
+ * @param lostCpuSPerHour work thrown away, in CPU seconds, in the last hour; what happened by itself counts
+ * @param leastUp the share of a service's replicas that stay up; null: all but one. 1: they are never moved
+ * @param againS how often one task may be disturbed
+ * @param number grows with each change
+ */
+public record DisruptionBudget(String team, String jobClass, int atOnce, double lostCpuSPerHour, Double leastUp, long againS, String who, long atMs,
+        String why, long number) {
+    public static final String DEFAULT = "default";
+    /** What teams have that nobody has spoken of. */
+    public static final DisruptionBudget USUAL = new DisruptionBudget(DEFAULT, null, 10, 20_000, null, 300, "", 0, "", 0);
+    public static final int MOST_AT_ONCE = 60;
+    /** Accounts remember a task for so long. */
+    public static final long MOST_AGAIN_S = 3600;
+    private static final double MOST_LOST = 1e9;
+    private static final String NAME = "[A-Za-z0-9][A-Za-z0-9._-]{0,59}";
+
+    /** The name that it goes by: the team's, or the team's and the class's. */
+    public String key() {
+        return key(team, jobClass);
+    }
+
+    public static String key(String team, String jobClass) {
+        return jobClass == null ? team : team + "~" + jobClass;
+    }
+
+    /** What a person puts, checked; what is left out is as {@link #USUAL} says. */
+    public static DisruptionBudget described(JsonNode n, String who, long atMs, String why, long number) throws Malformed {
+        String team = name(n, "team");
+        String jobClass = Codec.absent(n, "class") ? null : name(n, "class");
+        if (team.equals(DEFAULT) && jobClass != null) {
+            throw new Malformed("class = " + jobClass + ": the default is for all classes");
+        }
+        int atOnce = (int) count(n, "atOnce", USUAL.atOnce, MOST_AT_ONCE);
+        double lost = Codec.absent(n, "lostCpuSPerHour") ? USUAL.lostCpuSPerHour : number(n, "lostCpuSPerHour", MOST_LOST);
+        Double up = Codec.absent(n, "leastUp") ? null : Double.valueOf(number(n, "leastUp", 1));
+        return new DisruptionBudget(team, jobClass, atOnce, lost, up, count(n, "againS", USUAL.againS, MOST_AGAIN_S), who, atMs, why, number);
+    }
+
+    private static String name(JsonNode n, String field) throws Malformed {
+        String s = Codec.text(n, field);
+        if (!s.matches(NAME)) {
+            throw new Malformed(field + " = " + s + ": 1 to 60 letters, digits, dots, dashes and underlines are expected");
+        }
+        return s;
+    }
+
+    private static long count(JsonNode n, String field, long fallback, long most) throws Malformed {
+        if (Codec.absent(n, field)) {
+            return fallback;
+        }
+        try {
+            return Codec.count(n, field, 0, most);
+        } catch (Malformed e) {
+            throw new Malformed(field + " = " + n.get(field) + ": a whole number from 0 to " + most + " is expected");
+        }
+    }
+
+    private static double number(JsonNode n, String field, double most) throws Malformed {
+        JsonNode v = n.get(field);
+        if (!v.isNumber() || !(v.doubleValue() >= 0 && v.doubleValue() <= most)) {
+            throw new Malformed(field + " = " + v + ": a number from 0 to " + most + " is expected");
+        }
+        return v.doubleValue();
+    }
+
+    /** How many of a service's replicas may be away. */
+    public int mayBeAway(int replicas) {
+        return leastUp == null ? 1 : (int) Math.floor(replicas * (1 - leastUp) + 1e-9);
+    }
+
+    public ObjectNode toNode() {
+        return Codec.map().put("team", team).put("class", jobClass).put("atOnce", atOnce).put("lostCpuSPerHour", lostCpuSPerHour).put("leastUp", leastUp)
+                .put("againS", againS).put("who", who).put("at", atMs).put("why", why).put("number", number);
+    }
+
+    public static DisruptionBudget parse(JsonNode n) throws Malformed {
+        if (n == null || !n.isObject()) {
+            throw new Malformed("not a budget");
+        }
+        return described(n, Codec.text(n, "who"), n.path("at").asLong(), Codec.text(n, "why"), Codec.count(n, "number", 1, Long.MAX_VALUE));
+    }
+}
--- /dev/null
+++ b/src/main/java/org/beechhoist/drain/Pace.java
@@ -0,0 +1,52 @@
+package org.beechhoist.drain;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import org.beechhoist.wire.Codec;
+import org.beechhoist.wire.Malformed;
+
+/**
+ * How fast machines are emptied. A plain drain takes all at once; a replacement goes in steps.
+ *
+ * @param canary machines of the first step; it must hold before the next
+ * @param atOnce machines in hand at once
+ * @param perZone of them in one zone
+ * @param spare machines that are up beside the old ones before one of those is begun
+ * @param holdS how long the first step, and after a pause what stopped it, must be well
+ * @param waitS how long a machine's tasks may come to their own end before they are stopped by what loses least
+ */
+public record Pace(int canary, int atOnce, int perZone, int spare, long holdS, long waitS) {
+    public static final int MOST_AT_ONCE = 100;
+    private static final long LONGEST_S = 86_400;
+    private static final long USUAL_WAIT_S = 600;
+    private static final long USUAL_HOLD_S = 60;
+    private static final int USUAL_AT_ONCE = 20;
+
+    /** @param steps whether it goes in steps */
+    public static Pace parse(JsonNode n, boolean steps) throws Malformed {
+        int atOnce = !steps ? Integer.MAX_VALUE : count(n, "atOnce", USUAL_AT_ONCE, 1, MOST_AT_ONCE);
+        int perZone = !steps ? Integer.MAX_VALUE : count(n, "perZone", atOnce, 1, MOST_AT_ONCE);
+        int canary = !steps ? 0 : count(n, "canary", 1, 0, MOST_AT_ONCE);
+        int spare = !steps ? 0 : count(n, "spare", Math.min(atOnce, MOST_AT_ONCE), 0, MOST_AT_ONCE);
+        long hold = !steps ? 0 : count(n, "holdS", USUAL_HOLD_S, 0, LONGEST_S);
+        return new Pace(canary, atOnce, perZone, spare, hold, count(n, "waitS", USUAL_WAIT_S, 0, LONGEST_S));
+    }
+
+    private static int count(JsonNode n, String field, long fallback, long least, long most) throws Malformed {
+        if (Codec.absent(n, field)) {
+            return (int) fallback;
+        }
+        try {
+            return (int) Codec.count(n, field, least, most);
+        } catch (Malformed e) {
+            throw new Malformed(field + " = " + n.get(field) + ": a whole number from " + least + " to " + most + " is expected");
+        }
+    }
+
+    void into(ObjectNode n, boolean steps) {
+        n.put("waitS", waitS);
+        if (steps) {
+            n.put("canary", canary).put("atOnce", atOnce).put("perZone", perZone).put("spare", spare).put("holdS", holdS);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/beechhoist/drain/Rest.java
@@ -0,0 +1,100 @@
+package org.beechhoist.drain;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.time.DateTimeException;
+import java.time.Instant;
+import java.time.LocalDate;
+import java.time.LocalTime;
+import java.time.ZoneId;
+import java.time.ZonedDateTime;
+import java.time.format.DateTimeParseException;
+import java.util.Set;
+import java.util.TreeSet;
+import java.util.function.Predicate;
+import org.beechhoist.wire.Codec;
+import org.beechhoist.wire.Malformed;
+
+/**
+ * When it rests. It works from one time of day to another by a zone's clock, over midnight too, on days that are open in a named
+ * calendar; of a night it is the day on which the night begins. The closed days are taken from the calendar when the drain is put,
+ * for what each node read of it by itself could differ.
+ *
+ * @param from null: at all hours
+ */
+public record Rest(LocalTime from, LocalTime to, ZoneId zone, String calendar, Set<LocalDate> closed) {
+    public static final Rest NEVER = new Rest(null, null, ZoneId.of("UTC"), null, Set.of());
+    private static final int DAYS = 90;
+
+    public static Rest parse(JsonNode n) throws Malformed {
+        boolean hours = !Codec.absent(n, "from") || !Codec.absent(n, "to");
+        String calendar = Codec.absent(n, "calendar") ? null : Codec.text(n, "calendar");
+        if (!hours && calendar == null) {
+            return NEVER;
+        }
+        ZoneId zone;
+        try {
+            zone = ZoneId.of(Codec.text(n, "clock"));
+        } catch (DateTimeException e) {
+            throw new Malformed("clock = " + n.path("clock").asText() + ": a zone such as Asia/Tokyo is expected");
+        }
+        Set<LocalDate> closed = new TreeSet<>();
+        if (!Codec.absent(n, "closed")) {
+            for (String day : Codec.texts(n.get("closed"), "closed")) {
+                closed.add(LocalDate.parse(day));
+            }
+        }
+        return new Rest(hours ? time(n, "from") : null, hours ? time(n, "to") : null, zone, calendar, closed);
+    }
+
+    private static LocalTime time(JsonNode n, String field) throws Malformed {
+        try {
+            return LocalTime.parse(Codec.text(n, field));
+        } catch (DateTimeParseException e) {
+            throw new Malformed(field + " = " + n.path(field).asText() + ": a time of day such as 22:00 is expected");
+        }
+    }
+
+    /** The same with the closed days of the next while. */
+    public Rest with(Predicate<LocalDate> isClosed, long nowMs) {
+        Set<LocalDate> days = new TreeSet<>();
+        LocalDate first = Instant.ofEpochMilli(nowMs).atZone(zone).toLocalDate().minusDays(1);
+        for (int i = 0; i < DAYS; i++) {
+            if (isClosed.test(first.plusDays(i))) {
+                days.add(first.plusDays(i));
+            }
+        }
+        return new Rest(from, to, zone, calendar, days);
+    }
+
+    /** Whether it rests at the moment. */
+    public boolean rests(long wallMs) {
+        ZonedDateTime t = Instant.ofEpochMilli(wallMs).atZone(zone);
+        LocalDate day = t.toLocalDate();
+        if (from != null) {
+            LocalTime now = t.toLocalTime();
+            boolean night = !from.isBefore(to);
+            boolean early = night && now.isBefore(to);
+            if (night ? !early && now.isBefore(from) : now.isBefore(from) || !now.isBefore(to)) {
+                return true;
+            }
+            day = early ? day.minusDays(1) : day;
+        }
+        return closed.contains(day);
+    }
+
+    void into(ObjectNode n) {
+        if (this == NEVER || from == null && calendar == null) {
+            return;
+        }
+        n.put("clock", zone.getId()).put("calendar", calendar);
+        if (from != null) {
+            n.put("from", from.toString()).put("to", to.toString());
+        }
+        if (!closed.isEmpty()) {
+            ArrayNode days = n.putArray("closed");
+            closed.forEach(d -> days.add(d.toString()));
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/beechhoist/drain/Selector.java
@@ -0,0 +1,81 @@
+package org.beechhoist.drain;
+
+import com.dynatrace.hash4j.hashing.Hashing;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.Set;
+import java.util.TreeSet;
+import org.beechhoist.wire.Codec;
+import org.beechhoist.wire.HostId;
+import org.beechhoist.wire.Malformed;
+
+/**
+ * Which machines: by name, or all that were rented before the drain began and are of a type, a zone, a kind, an age, or a share of
+ * them. A function of the machine and the record alone, so that every leader finds the same ones.
+ *
+ * @param names empty: not by name
+ * @param spot null: both kinds
+ * @param share of the machines that fit else, drawn by a hash of their names: about that many
+ */
+public record Selector(Set<String> names, String type, String zone, Boolean spot, long olderThanS, double share) {
+    public static final int MOST_NAMES = 100;
+    private static final long LONGEST_S = 366L * 86_400;
+    private static final double HASHES = 4294967296.0;
+
+    /** @param rentedWallMs by the time of day; 0: not known */
+    public record Machine(HostId id, String type, String zone, boolean spot, long rentedWallMs) {
+    }
+
+    /** @param atMs when the drain was put, by the time of day */
+    public boolean matches(Machine m, long atMs) {
+        if (!names.isEmpty()) {
+            return names.contains(m.id.text());
+        }
+        boolean old = m.rentedWallMs > 0 && m.rentedWallMs < atMs - 1000 * olderThanS;
+        return old && (type == null || type.equals(m.type)) && (zone == null || zone.equals(m.zone)) && (spot == null || spot == m.spot)
+                && (share >= 1 || Integer.toUnsignedLong(Hashing.murmur3_32().hashCharsToInt(m.id.text())) < share * HASHES);
+    }
+
+    public static Selector parse(JsonNode n) throws Malformed {
+        Set<String> names = new TreeSet<>();
+        if (!Codec.absent(n, "machines")) {
+            names.addAll(Codec.texts(n.get("machines"), "machines"));
+            if (names.isEmpty() || names.size() > MOST_NAMES) {
+                throw new Malformed("machines = " + names.size() + " names: 1 to " + MOST_NAMES + " are expected");
+            }
+        }
+        String type = Codec.absent(n, "type") ? null : Codec.text(n, "type");
+        String zone = Codec.absent(n, "zone") ? null : Codec.text(n, "zone");
+        Boolean spot = Codec.absent(n, "spot") ? null : Codec.bool(n, "spot");
+        long older = Codec.absent(n, "olderThanS") ? 0 : Codec.count(n, "olderThanS", 0, LONGEST_S);
+        double share = Codec.absent(n, "share") ? 1 : Codec.number(n, "share", 0);
+        if (share <= 0 || share > 1) {
+            throw new Malformed("share = " + share + ": more than 0 and at most 1 is expected");
+        }
+        boolean all = !Codec.absent(n, "all") && Codec.bool(n, "all");
+        boolean some = type != null || zone != null || spot != null || older > 0 || share < 1;
+        if (names.isEmpty() ? !all && !some : all || some) {
+            throw new Malformed("machines, type, zone, spot, olderThanS, share, all: names alone, or some of the others, or all = true are expected");
+        }
+        return new Selector(names, type, zone, spot, older, share);
+    }
+
+    public void into(ObjectNode n) {
+        if (!names.isEmpty()) {
+            ArrayNode list = n.putArray("machines");
+            names.forEach(list::add);
+            return;
+        }
+        n.put("type", type).put("zone", zone).put("spot", spot);
+        if (olderThanS > 0) {
+            n.put("olderThanS", olderThanS);
+        }
+        if (share < 1) {
+            n.put("share", share);
+        }
+        if (type == null && zone == null && spot == null && olderThanS == 0 && share >= 1) {
+            n.put("all", true);
+        }
+    }
+}
--- a/src/main/java/org/beechhoist/triage/Triage.java
+++ b/src/main/java/org/beechhoist/triage/Triage.java
@@ -9,13 +9,14 @@
 import java.util.PriorityQueue;
 import java.util.Set;
 import java.util.TreeMap;
+import java.util.function.ToDoubleFunction;
 import org.beechhoist.wire.JobRef;
 
 /**
  * Under overload the order by deadlines begins every job as late as it may, and nearly all of them end just too late. Here as
  * many as possible are kept that can be in time, by Moore and Hodgson's rule: take the jobs by when they are due, and where one
  * would be late, leave the largest taken so far behind. Machines are taken for one that is as fast as all of them; a team's
- * limit for another that its jobs have to get through as well.
+ * limit, and the GPUs, for others that jobs which need them have to get through as well.
  */
 public final class Triage {
     /** Rooms are not filled to the last CPU: tasks do not fit, images are fetched, machines stop. */
@@ -26,29 +27,34 @@
     /** What of a group is kept: half of it, and some for jobs that end late all the same. */
     private static final double HALF = 0.6;
 
-    private static final Comparator<Demand> LARGEST = Comparator.comparingDouble(Demand::cpuMs).reversed()
-            .thenComparing(Comparator.comparingLong(Demand::dueMs).reversed()).thenComparing(Demand::job);
-
-    /** One queue that jobs have to get through: all machines, or a team's limit. */
+    /** One queue that jobs have to get through: all machines, their GPUs, or a team's limit. */
     private static final class Line {
-        private final double cpus;
-        private double cpuMs;
+        private final double width;
+        /** What of it a job asks for. */
+        private final ToDoubleFunction<Demand> takes;
+        private final Comparator<Demand> largest;
+        private double queuedMs;
         /** Taken so far in this rank, by class and team, the largest first; some were left behind for another line's sake. */
         private final Map<Set<String>, PriorityQueue<Demand>> taken = new HashMap<>();
 
-        Line(double cpus, double busyCpuMs) {
-            this.cpus = cpus;
-            this.cpuMs = busyCpuMs;
+        Line(double width, double busyMs, ToDoubleFunction<Demand> takes) {
+            this.width = width;
+            this.queuedMs = busyMs;
+            this.takes = takes;
+            this.largest = Comparator.comparingDouble(takes).reversed().thenComparing(Comparator.comparingLong(Demand::dueMs).reversed())
+                    .thenComparing(Demand::job);
         }
 
         boolean inTime(Demand d, long nowMs) {
-            double through = cpuMs / (FILLED * cpus) + LONGEST * d.lengthMs() / 2;
+            double through = queuedMs / (FILLED * width) + LONGEST * d.lengthMs() / 2;
             return nowMs + Math.max(LONGEST * d.lengthMs(), through) <= d.dueMs();
         }
     }
 
     private final Means means;
     private final Line machines;
+    /** Null where no machine has any: what needs some has to get through both. */
+    private final Line gpus;
     private final Map<String, Line> teams = new HashMap<>();
     private final Set<JobRef> behind = new HashSet<>();
 
@@ -57,7 +63,8 @@
 
     private Triage(List<Demand> demands, Means means) {
         this.means = means;
-        this.machines = new Line(means.cpus(), means.busyCpuMs());
+        this.machines = new Line(means.cpus(), means.busyCpuMs(), Demand::cpuMs);
+        this.gpus = means.gpus() > 0 ? new Line(means.gpus(), means.busyGpuMs(), Demand::gpuMs) : null;
         means.lately().forEach((group, s) -> kept.put(group, new int[] {s.asked(), s.served()}));
         for (Demand d : demands) {
             d.groups().forEach(g -> {
@@ -66,7 +73,7 @@
                 k[1] += d.missed() ? 0 : 1;
             });
         }
-        means.teams().forEach((name, t) -> teams.put(name, new Line(t.cpus(), t.busyCpuMs())));
+        means.teams().forEach((name, t) -> teams.put(name, new Line(t.cpus(), t.busyCpuMs(), Demand::cpuMs)));
     }
 
     /** The jobs that are left behind, so that others are in time; empty where all can be, or no machine is there. */
@@ -85,29 +92,42 @@
     private void rank(List<Demand> demands) {
         demands.sort(Comparator.comparingLong(Demand::dueMs).thenComparing(Demand::job));
         machines.taken.clear();
+        if (gpus != null) {
+            gpus.taken.clear();
+        }
         teams.values().forEach(l -> l.taken.clear());
         for (Demand d : demands) {
             Line team = teams.get(d.team());
             if (d.dueMs() == Demand.NO_DUE) {
                 continue; // it waits for all that can be late, and delays none of them
             }
-            take(d, machines);
-            if (team != null) {
-                take(d, team);
-                if (!team.inTime(d, means.nowMs())) {
-                    leaveLargest(team);
+            List<Line> lines = lines(d, team);
+            lines.forEach(l -> take(d, l));
+            for (Line line : lines) {
+                if (!behind.contains(d.job()) && !line.inTime(d, means.nowMs())) {
+                    leaveLargest(line);
                 }
             }
-            if (!behind.contains(d.job()) && !machines.inTime(d, means.nowMs())) {
-                leaveLargest(machines);
-            }
         }
     }
 
+    /** What the job has to get through, in the order of looking: its team's limit, GPUs, all machines. */
+    private List<Line> lines(Demand d, Line team) {
+        List<Line> out = new ArrayList<>();
+        if (team != null) {
+            out.add(team);
+        }
+        if (gpus != null && d.gpuMs() > 0) {
+            out.add(gpus);
+        }
+        out.add(machines);
+        return out;
+    }
+
     private static void take(Demand d, Line line) {
-        line.cpuMs += d.cpuMs();
+        line.queuedMs += line.takes.applyAsDouble(d);
         if (!d.keep()) {
-            line.taken.computeIfAbsent(d.groups(), k -> new PriorityQueue<>(LARGEST)).add(d);
+            line.taken.computeIfAbsent(d.groups(), k -> new PriorityQueue<>(line.largest)).add(d);
         }
     }
 
@@ -120,7 +140,7 @@
                 q.poll();
             }
             double rest = q.isEmpty() ? -1 : leftToIts(e.getKey());
-            if (rest > best || rest == best && from != null && LARGEST.compare(q.peek(), from.peek()) < 0) {
+            if (rest > best || rest == best && from != null && line.largest.compare(q.peek(), from.peek()) < 0) {
                 best = rest;
                 from = q;
             }
@@ -131,11 +151,7 @@
         Demand largest = from.poll();
         behind.add(largest.job());
         largest.groups().forEach(g -> kept.get(g)[1]--);
-        machines.cpuMs -= largest.cpuMs();
-        Line team = teams.get(largest.team());
-        if (team != null) {
-            team.cpuMs -= largest.cpuMs();
-        }
+        lines(largest, teams.get(largest.team())).forEach(l -> l.queuedMs -= l.takes.applyAsDouble(largest));
     }
 
     /** How much of their halves a job's groups still have without one more job, on the mean; above the half does not count. */
--- a/src/test/java/org/beechhoist/sim/PackingTest.java
+++ b/src/test/java/org/beechhoist/sim/PackingTest.java
@@ -11,6 +11,7 @@
 import org.beechhoist.core.Effect;
 import org.beechhoist.packing.Moves;
 import org.beechhoist.packing.Sizes;
+import org.beechhoist.wire.Codec;
 import org.beechhoist.wire.HostId;
 import org.beechhoist.wire.JobRef;
 import org.beechhoist.wire.TaskId;
@@ -58,6 +59,45 @@
         assertTrue(still >= 3, "without moves it began in " + (4 - still) + " of 4, nothing is shown");
     }
 
+    /** Two whole machines of one zone: one room after the other, in a zone that has enough for both. */
+    @Test
+    void aModelOverTwoMachinesBegins() {
+        int still = 0;
+        int begun = 0;
+        for (long seed = 1; seed <= 4; seed++) {
+            for (Policy policy : List.of(STILL, ON)) {
+                Gpus g = twoZones(seed, policy);
+                String ref = String.format("job-%06d", g.w.nextJob());
+                g.w.submit("serve", true, 2, 32, 0, n -> n.put("owner", "blue").put("urgency", "normal").put("loaner", false).put("accelerators", 8.0)
+                        .put("memGb", 256.0).put("bundle", "w-10").put("pullGb", 10.0).put("samePlace", true).set("hosttypes", Codec.list().add("g8")));
+                if (seed > 2) {
+                    g.w.later(8000, () -> g.w.crash(g.w.leader(), 300));
+                }
+                g.w.runUntil(400_000);
+                int there = g.w.onMachines(ref);
+                still += policy == STILL && there == 2 ? 1 : 0;
+                begun += policy == ON && there == 2 ? 1 : 0;
+                assertEquals(0, g.twiceTooSoon, "seed " + seed);
+                assertEquals(0, g.underFloor, "seed " + seed);
+                assertEquals(List.of(), g.w.keys("mv/"), "seed " + seed);
+            }
+        }
+        assertEquals(4, begun, "models over two machines that run");
+        assertTrue(still <= 1, "without moves " + still + " of 4 run, nothing is shown");
+    }
+
+    private static Gpus twoZones(long seed, Policy policy) {
+        for (long drawn = 1000 * seed; drawn < 1000 * seed + 40; drawn++) {
+            Gpus g = new Gpus(Gpus.world(drawn, 3, 2, 5, policy));
+            g.fragmented(30, 14);
+            g.w.runUntil(70_000);
+            if (g.free() >= 28 && g.whole() == 0 && g.w.machinesUp() == 10) {
+                return g;
+            }
+        }
+        throw new AssertionError("no such night");
+    }
+
     /** Steps of a move after which its leader ends, stands still, or is cut off. */
     enum Step {
         WRITTEN(e -> e instanceof Effect.Call c && c.path().equals("/commit") && c.body().toString().contains("\"put\":\"mv/")),
--- a/src/test/java/org/beechhoist/sim/TwoDoorsTrial.java
+++ b/src/test/java/org/beechhoist/sim/TwoDoorsTrial.java
@@ -51,7 +51,7 @@
         // alone. With renting and stopping, a millisecond here is another machine there, and forty seconds a minute later.
         Policy d = CronSimulationTest.ON;
         Policy still = new Policy(0, d.searchMs(), d.searchEveryMs(), d.weights(), d.patience(), 0, 86_400_000, 86_400_000,
-                d.silentMs(), d.elastic(), d.cron(), false, false, false, false, false, false, false);
+                d.silentMs(), d.elastic(), d.cron(), false, false, false, false, false, false, false, false);
         World w = new World(seed, new World.Scale(3, 1, 3000, 0, 10_000, still), CronSimulationTest.START - 120_000, 1);
         w.steady = true;
         w.submit("exact", false, 12, 15, 5, n -> n.put("ref", "job-5").put("owner", "blue").put("loaner", true).put("bundle", "img-0"));
--- a/src/test/java/org/beechhoist/triage/TriageTest.java
+++ b/src/test/java/org/beechhoist/triage/TriageTest.java
@@ -18,11 +18,11 @@
     private static final long NOW = 1_000_000;
 
     private static Demand demand(int i, String jobClass, double cpuMs, long dueInMs, boolean keep) {
-        return new Demand(new JobRef("job-" + i), Set.of("class:" + jobClass), 0, "blue", cpuMs, 1000, NOW + dueInMs, false, keep);
+        return new Demand(new JobRef("job-" + i), Set.of("class:" + jobClass), 0, "blue", cpuMs, 0, 1000, NOW + dueInMs, false, keep);
     }
 
     private static Means means(double cpus) {
-        return new Means(NOW, cpus, 0, Map.of(), Map.of());
+        return new Means(NOW, cpus, 0, 0, 0, Map.of(), Map.of());
     }
 
     /** With one class as many are kept as any choice of jobs could have in time, give or take the one by which lines are coarse. */
@@ -100,11 +100,24 @@
     void aTeamsLimitIsItsOwn() {
         List<Demand> all = new ArrayList<>();
         for (int i = 0; i < 20; i++) {
-            all.add(new Demand(new JobRef("job-" + i), Set.of("team:" + i % 2), 0, i % 2 == 0 ? "red" : "blue", 10_000, 1000, NOW + 6000, false, false));
+            all.add(new Demand(new JobRef("job-" + i), Set.of("team:" + i % 2), 0, i % 2 == 0 ? "red" : "blue", 10_000, 0, 1000, NOW + 6000, false, false));
         }
-        Set<JobRef> behind = Triage.behind(all, new Means(NOW, 1000, 0, Map.of("red", new Means.Team(5, 0)), Map.of()));
+        Set<JobRef> behind = Triage.behind(all, new Means(NOW, 1000, 0, 0, 0, Map.of("red", new Means.Team(5, 0)), Map.of()));
         Set<JobRef> reds = new HashSet<>();
         all.stream().filter(d -> d.team().equals("red")).forEach(d -> reds.add(d.job()));
         assertTrue(!behind.isEmpty() && reds.containsAll(behind), behind.toString());
     }
+
+    /** GPUs run short though CPUs are plenty: of what needs them, and nothing else, the largest is left behind. */
+    @Test
+    void gpusAreALineOfTheirOwn() {
+        List<Demand> all = new ArrayList<>();
+        for (int i = 0; i < 12; i++) {
+            all.add(new Demand(new JobRef("job-" + i), Set.of("class:" + i % 2), 0, "blue", 4000, i % 2 == 0 ? 8000 + i : 0, 1000, NOW + 6000, false, false));
+        }
+        Set<JobRef> behind = Triage.behind(all, new Means(NOW, 1000, 0, 4, 0, Map.of(), Map.of()));
+        assertTrue(behind.size() >= 2 && behind.size() <= 4, behind.toString());
+        assertTrue(behind.stream().allMatch(j -> Integer.parseInt(j.text().substring(4)) % 2 == 0), behind.toString());
+        assertTrue(behind.contains(new JobRef("job-10")), "the largest by GPUs: " + behind);
+    }
 }
