--- a/src/test/java/org/beechhoist/sim/Drains.java
+++ b/src/test/java/org/beechhoist/sim/Drains.java
@@ -28,7 +28,8 @@
         w.every(500, () -> away.removeIf(t -> w.running().contains(t) || w.userJob(t.job().text()).done.contains(t.index())));
     }
 
-    private void stopped(TaskId t) {
+    /** A running task was stopped by command. */
+    void stopped(TaskId t) {
         World.UserJob j = w.userJob(t.job().text());
         if (w.cancelled(j)) {
             return;
--- a/src/test/java/org/beechhoist/sim/World.java
+++ b/src/test/java/org/beechhoist/sim/World.java
@@ -452,8 +452,9 @@
     BiConsumer<Integer, JsonNode> committed = (node, body) -> { };
     /** Told of each answer and call that is carried out, and how long after it was decided. */
     BiConsumer<Long, Effect> performed = (age, e) -> { };
-    /** Told of each running task that was stopped by command. */
+    /** Told of each running task that was stopped by command, and where. */
     Consumer<TaskId> stopped = t -> { };
+    String stoppedOn;
     /** Told of each job that a schedule has made. */
     Consumer<UserJob> entered = j -> { };
     /** What tasks that can save have saved. */
@@ -1079,6 +1080,7 @@
     public void ended(Worker on, TaskId task, long attempt, long lostMs, Worker.End why) {
         toll.ended(task, why);
         if (why == Worker.End.STOPPED) {
+            stoppedOn = on.name;
             stopped.accept(task);
         }
         if (why == Worker.End.FAILED) {
