Forecasts of releases learn from what happened; one way for people's changes, one for what is read after winning

Cause: forecasts made while jobs still come were mostly wrong and nothing was held against what happened. Change: release.Calibration stretches the plan's word by the middle of what was seen (kept with the tallies); `release list` shows the plan's word and nine of ten beside. core.Amending, AfterWinning, OpenDays, cli.TomlFile serve all. A drain counts machines that are being returned as gone. Result: ReleaseTest.forecastsLearnFromWhatHappened: after eight releases the error is under 0.6 of the plan's own.

--- a/src/main/java/org/beechhoist/cli/DrainCommands.java
+++ b/src/main/java/org/beechhoist/cli/DrainCommands.java
@@ -1,20 +1,14 @@
 package org.beechhoist.cli;
 
-import com.fasterxml.jackson.databind.JsonNode;
-import com.fasterxml.jackson.databind.node.ObjectNode;
-import com.fasterxml.jackson.dataformat.toml.TomlMapper;
-import java.io.IOException;
 import java.nio.file.Path;
 import java.util.concurrent.Callable;
 import org.beechhoist.drain.DisruptionBudget;
 import org.beechhoist.drain.Drain;
 import org.beechhoist.wire.Codec;
-import org.beechhoist.wire.Malformed;
 import picocli.CommandLine;
 
 /** Emptying and replacing machines, and budgets of disruption; exit codes as of the other users' commands. */
 final class DrainCommands {
-    private static final int USAGE = 2;
     private static final String DRAINS = "/v1/drains";
     private static final String BUDGETS = "/v1/budgets";
     /** Only checks of the file's fields need a moment, and any will do. */
@@ -23,23 +17,6 @@
     private DrainCommands() {
     }
 
-    /** What is done with a file's content. */
-    private interface Content {
-        int use(ObjectNode given) throws Malformed;
-    }
-
-    private static int with(Path file, Content content) {
-        try {
-            JsonNode given = new TomlMapper().readTree(file.toFile());
-            return content.use((ObjectNode) given);
-        } catch (Malformed e) {
-            System.err.println("beechhoist: " + file + ": " + e.getMessage());
-        } catch (IOException e) {
-            System.err.println("beechhoist: " + file + ": a readable TOML file is expected");
-        }
-        return USAGE;
-    }
-
     /** Puts a drain. */
     @CommandLine.Command(name = "put", mixinStandardHelpOptions = true, description = "Have machines emptied, or replaced in steps, as a TOML file says: name; machines, "
             + "or type, zone, spot, olderThanS, share, all; inS, forS, keep, waitS; replace, with, canary, atOnce, perZone, spare, holdS; from, to, clock, calendar.")
@@ -53,7 +30,7 @@
 
         @Override
         public Integer call() {
-            return with(file, given -> {
+            return TomlFile.use(file, given -> {
                 String name = Codec.text(given, "name");
                 Drain.described(name, given, SOME_MOMENT);
                 return UserCommands.ask(nodes, "POST", DRAINS + "/" + name + "/put", change.to(given.deepCopy()), name);
@@ -72,7 +49,7 @@
 
         @Override
         public Integer call() {
-            return with(file, given -> {
+            return TomlFile.use(file, given -> {
                 String name = Codec.text(given, "name");
                 Drain.described(name, given, SOME_MOMENT);
                 return UserCommands.ask(nodes, "POST", DRAINS + "/" + name + "/plan", given, name);
@@ -178,7 +155,7 @@
 
         @Override
         public Integer call() {
-            return with(file, given -> {
+            return TomlFile.use(file, given -> {
                 String key = DisruptionBudget.described(given, "", SOME_MOMENT, "", 1).key();
                 return UserCommands.ask(nodes, "POST", BUDGETS + "/" + key + "/put", change.to(given.deepCopy()), key);
             });
--- a/src/main/java/org/beechhoist/cli/KeySetCommands.java
+++ b/src/main/java/org/beechhoist/cli/KeySetCommands.java
@@ -2,8 +2,6 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
-import com.fasterxml.jackson.dataformat.toml.TomlMapper;
-import java.io.IOException;
 import java.nio.file.Path;
 import java.util.List;
 import java.util.concurrent.Callable;
@@ -13,7 +11,6 @@
 
 /** Key sets; exit codes as of the other users' commands. */
 final class KeySetCommands {
-    private static final int USAGE = 2;
     private static final String PATH = "/v1/keysets";
 
     private KeySetCommands() {
@@ -32,8 +29,7 @@
 
         @Override
         public Integer call() {
-            try {
-                JsonNode given = new TomlMapper().readTree(file.toFile());
+            return TomlFile.use(file, given -> {
                 String name = Codec.text(given, "name");
                 ObjectNode body = change.to(Codec.map()).put("owner", Codec.text(given, "owner"));
                 body.set("fingerprints", strings(given, "fingerprints"));
@@ -41,12 +37,7 @@
                     body.set("classes", strings(given, "classes"));
                 }
                 return UserCommands.ask(nodes, "POST", PATH + "/" + name + "/propose", body, name);
-            } catch (Malformed e) {
-                System.err.println("beechhoist: " + file + ": " + e.getMessage());
-            } catch (IOException e) {
-                System.err.println("beechhoist: " + file + ": a readable TOML file is expected");
-            }
-            return USAGE;
+            });
         }
 
         private static JsonNode strings(JsonNode given, String field) throws Malformed {
--- a/src/main/java/org/beechhoist/cli/ReleaseCommands.java
+++ b/src/main/java/org/beechhoist/cli/ReleaseCommands.java
@@ -34,17 +34,11 @@
 
         @Override
         public Integer call() {
-            try {
-                JsonNode given = new TomlMapper().readTree(file.toFile());
+            return TomlFile.use(file, given -> {
                 String name = Codec.text(given, "name");
                 Release.described(name, given);
-                return UserCommands.ask(nodes, "POST", PATH + "/" + name + "/put", change.to(((ObjectNode) given).deepCopy()), name);
-            } catch (Malformed e) {
-                System.err.println("beechhoist: " + file + ": " + e.getMessage());
-            } catch (IOException e) {
-                System.err.println("beechhoist: " + file + ": a readable TOML file is expected");
-            }
-            return USAGE;
+                return UserCommands.ask(nodes, "POST", PATH + "/" + name + "/put", change.to(given.deepCopy()), name);
+            });
         }
     }
 
--- /dev/null
+++ b/src/main/java/org/beechhoist/cli/TomlFile.java
@@ -0,0 +1,31 @@
+package org.beechhoist.cli;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import com.fasterxml.jackson.dataformat.toml.TomlMapper;
+import java.io.IOException;
+import java.nio.file.Path;
+import org.beechhoist.wire.Malformed;
+
+/** A command's file: what is wrong with it is one line, and exit code 2. */
+final class TomlFile {
+    private static final int USAGE = 2;
+
+    /** What a command does with a file's content; hands over its exit code. */
+    interface Content {
+        int use(ObjectNode given) throws Malformed;
+    }
+
+    private TomlFile() {
+    }
+
+    static int use(Path file, Content content) {
+        try {
+            return content.use((ObjectNode) new TomlMapper().readTree(file.toFile()));
+        } catch (Malformed e) {
+            System.err.println("beechhoist: " + file + ": " + e.getMessage());
+        } catch (IOException e) {
+            System.err.println("beechhoist: " + file + ": a readable TOML file is expected");
+        }
+        return USAGE;
+    }
+}
--- a/src/main/java/org/beechhoist/core/Amending.java
+++ b/src/main/java/org/beechhoist/core/Amending.java
@@ -2,6 +2,7 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.function.Consumer;
 import org.beechhoist.store.Budget;
 import org.beechhoist.store.StoreClient;
 import org.beechhoist.store.StoreClient.Commit;
@@ -25,11 +26,23 @@
         }
     }
 
-    /** What becomes of the record; {@code before} is null where there is none, and so is what it becomes where it goes. */
+    /** What becomes of the record. */
     interface Edit {
+        /** @param before null where there is none; {@code then} is told, now or later, what it becomes */
+        void of(JsonNode before, Then then) throws Malformed, Refused;
+    }
+
+    /** The same, decided at once; null: the record goes. */
+    interface Now {
         ObjectNode of(JsonNode before) throws Malformed, Refused;
     }
 
+    /** Where an edit's outcome goes. */
+    interface Then {
+        /** @param more what is written in the same transaction, {@code shown} what is answered */
+        void becomes(ObjectNode value, Consumer<Txn> more, ObjectNode shown);
+    }
+
     private final Turn turn;
     private final StoreClient store;
     private final Budget requests;
@@ -51,6 +64,13 @@
     }
 
     /** Answers with the record as it stands then. */
+    void now(String key, Now edit, CronApi.Answer answer) {
+        change(key, (before, then) -> {
+            ObjectNode next = edit.of(before);
+            then.becomes(next, t -> { }, next == null ? Codec.map() : next);
+        }, answer);
+    }
+
     void change(String key, Edit edit, CronApi.Answer answer) {
         change(key, edit, answer, 0);
     }
@@ -65,33 +85,37 @@
                 unknown(answer);
                 return;
             }
-            ObjectNode next;
+            Revision version = r.item() == null ? Revision.ABSENT : r.item().version();
             try {
-                next = edit.of(r.item() == null ? null : r.item().value());
+                edit.of(r.item() == null ? null : r.item().value(), (value, more, shown) -> {
+                    Txn txn = new Txn().guard(key, version);
+                    if (value == null) {
+                        txn.delete(key);
+                    } else {
+                        txn.put(key, value);
+                    }
+                    more.accept(txn);
+                    requests.take(turn.now(), 1);
+                    writes.take(turn.now(), txn.ops());
+                    store.commit(txn, c -> {
+                        if (c.result() == Commit.Result.DONE) {
+                            answer.with(200, shown);
+                        } else if (c.result() == Commit.Result.CONFLICT) {
+                            change(key, edit, answer, races + 1);
+                        } else {
+                            unknown(answer);
+                        }
+                    });
+                });
             } catch (Malformed e) {
                 answer.with(400, error(e.getMessage()));
-                return;
             } catch (Refused e) {
-                answer.with(e.status, error(e.getMessage()));
-                return;
-            }
-            Txn txn = new Txn().guard(key, r.item() == null ? Revision.ABSENT : r.item().version());
-            if (next == null) {
-                txn.delete(key);
-            } else {
-                txn.put(key, next);
+                refuse(answer, e);
             }
-            requests.take(turn.now(), 1);
-            writes.take(turn.now(), 1);
-            store.commit(txn, c -> {
-                if (c.result() == Commit.Result.DONE) {
-                    answer.with(200, next == null ? Codec.map() : next);
-                } else if (c.result() == Commit.Result.CONFLICT) {
-                    change(key, edit, answer, races + 1);
-                } else {
-                    unknown(answer);
-                }
-            });
         });
     }
+
+    static void refuse(CronApi.Answer answer, Refused e) {
+        answer.with(e.status, error(e.getMessage()));
+    }
 }
--- a/src/main/java/org/beechhoist/core/Disruptions.java
+++ b/src/main/java/org/beechhoist/core/Disruptions.java
@@ -38,7 +38,6 @@
     private static final long WRITE_EVERY_MS = 15_000;
     private static final double PLENTY = 0.5;
     private static final int MOST_IN_ONE = 4;
-    private static final long AGAIN_READ_MS = 700;
     /** What was charged and not stopped for so long never will be: its leader fell in between, and its drain is over. */
     private static final long NEVER_STOPPED_MS = 30_000;
 
@@ -49,6 +48,7 @@
     private final Budget requests;
     private final Budget writes;
     private final Book book;
+    private final AfterWinning reading;
     private final boolean on;
     /** Whether tasks of the machine are about to move, each when its turn comes. */
     private Predicate<HostId> moving = h -> false;
@@ -67,6 +67,7 @@
         this.writes = writes;
         this.book = book;
         this.on = on;
+        this.reading = new AfterWinning(turn, store, requests, book);
     }
 
     /** A new leadership begins: what the last one charged is read before anything is disturbed on purpose. */
@@ -76,36 +77,10 @@
         read = false;
         nextWrite = turn.now().plusMs(WRITE_EVERY_MS);
         if (on) {
-            read(null);
+            reading.read(PREFIX, i -> accounts.put(i.key().substring(PREFIX.length()), Account.parse(i.value())), () -> read = true);
         }
     }
 
-    private void read(String after) {
-        long reign = book.reign();
-        requests.take(turn.now(), 1);
-        store.list(PREFIX, after, 60, page -> {
-            if (reign != book.reign()) {
-                return;
-            }
-            if (!page.ok()) {
-                turn.after(AGAIN_READ_MS, () -> {
-                    if (reign == book.reign()) {
-                        read(after);
-                    }
-                });
-                return;
-            }
-            for (StoreClient.Item i : page.items()) {
-                accounts.put(i.key().substring(PREFIX.length()), Account.parse(i.value()));
-            }
-            if (page.more() && !page.items().isEmpty()) {
-                read(page.items().get(page.items().size() - 1).key());
-            } else {
-                read = true;
-            }
-        });
-    }
-
     /** Who knows which machines' tasks are about to move. */
     void moving(Predicate<HostId> who) {
         moving = who;
--- a/src/main/java/org/beechhoist/core/DrainApi.java
+++ b/src/main/java/org/beechhoist/core/DrainApi.java
@@ -2,13 +2,9 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
-import java.time.LocalDate;
 import java.util.Set;
 import java.util.TreeSet;
-import java.util.function.Predicate;
 import org.beechhoist.config.Settings;
-import org.beechhoist.cron.Calendar;
-import org.beechhoist.cron.ScheduleKeys;
 import org.beechhoist.drain.DisruptionBudget;
 import org.beechhoist.drain.Drain;
 import org.beechhoist.store.Budget;
@@ -25,18 +21,16 @@
 
     private final Turn turn;
     private final Settings settings;
-    private final StoreClient store;
-    private final Budget requests;
     private final DrainBook drains;
     private final Amending amending;
+    private final OpenDays openDays;
 
     DrainApi(Turn turn, Settings settings, StoreClient store, Budget requests, Budget writes, DrainBook drains) {
         this.turn = turn;
         this.settings = settings;
-        this.store = store;
-        this.requests = requests;
         this.drains = drains;
         this.amending = new Amending(turn, store, requests, writes);
+        this.openDays = new OpenDays(turn, store, requests);
     }
 
     static boolean mine(String path) {
@@ -104,7 +98,7 @@
             case "pause" -> change(name, Drain.State.PAUSED, "paused", who, why, answer);
             case "resume" -> change(name, Drain.State.RUNNING, "resumed", who, why, answer);
             case "abort" -> change(name, Drain.State.ABORTED, "aborted", who, why, answer);
-            case "remove" -> amending.change(DrainBook.DRAINS + name, before -> {
+            case "remove" -> amending.now(DrainBook.DRAINS + name, before -> {
                 if (before == null) {
                     throw new Amending.Refused(404, "name = " + name + ": the name of a drain is expected");
                 }
@@ -118,7 +112,7 @@
     }
 
     private void change(String name, Drain.State to, String what, String who, String why, CronApi.Answer answer) {
-        amending.change(DrainBook.DRAINS + name, before -> {
+        amending.now(DrainBook.DRAINS + name, before -> {
             if (before == null) {
                 throw new Amending.Refused(404, "name = " + name + ": the name of a drain is expected");
             }
@@ -138,32 +132,12 @@
         if (drains.known(name) == null && drains.drains().size() >= MOST_DRAINS) {
             throw new Malformed("name = " + name + ": at most " + MOST_DRAINS + " drains are allowed; remove some that are over");
         }
-        String calendar = described.rest().calendar();
-        if (calendar == null) {
-            commit(name, described, who, why, answer);
-            return;
-        }
-        requests.take(turn.now(), 1);
-        store.get(ScheduleKeys.CALENDARS + calendar, r -> {
-            if (!r.known()) {
-                Amending.unknown(answer);
-                return;
-            }
-            try {
-                if (r.item() == null) {
-                    throw new Malformed("calendar = " + calendar + ": an installed calendar is expected");
-                }
-                Calendar c = Calendar.parse(r.item().value(), calendar);
-                Predicate<LocalDate> closed = d -> c.closed(d) != null;
-                commit(name, described.with(described.rest().with(closed, turn.wallMs())), who, why, answer);
-            } catch (Malformed e) {
-                answer.with(400, Amending.error(e.getMessage()));
-            }
-        });
+        openDays.of(described.rest().calendar(), answer, open -> commit(name,
+                described.rest().calendar() == null ? described : described.with(described.rest().with(d -> !open.test(d), turn.wallMs())), who, why, answer));
     }
 
     private void commit(String name, Drain described, String who, String why, CronApi.Answer answer) {
-        amending.change(DrainBook.DRAINS + name, before -> described.put(before == null ? null : Drain.parse(before), who, turn.wallMs(), why).toNode(), answer);
+        amending.now(DrainBook.DRAINS + name, before -> described.put(before == null ? null : Drain.parse(before), who, turn.wallMs(), why).toNode(), answer);
     }
 
     // ---- budgets ----
@@ -172,7 +146,7 @@
         String who = text(n, "who");
         String why = text(n, "why");
         if (verb.equals("remove")) {
-            amending.change(DrainBook.BUDGETS + key, before -> {
+            amending.now(DrainBook.BUDGETS + key, before -> {
                 if (before == null) {
                     throw new Amending.Refused(404, "name = " + key + ": the team, or team~class, of a budget is expected");
                 }
@@ -192,7 +166,7 @@
         if (!described.key().equals(key)) {
             throw new Malformed("name = " + key + ": " + described.key() + " is expected");
         }
-        amending.change(DrainBook.BUDGETS + key, before -> DisruptionBudget.described(n, who, turn.wallMs(), why,
+        amending.now(DrainBook.BUDGETS + key, before -> DisruptionBudget.described(n, who, turn.wallMs(), why,
                 before == null ? 1 : DisruptionBudget.parse(before).number() + 1).toNode(), answer);
     }
 }
--- a/src/main/java/org/beechhoist/core/DrainDesk.java
+++ b/src/main/java/org/beechhoist/core/DrainDesk.java
@@ -41,7 +41,6 @@
     static final String RUNS = "dr/run/";
     private static final Logger LOG = LoggerFactory.getLogger(DrainDesk.class);
     private static final long EVERY_MS = 1000;
-    private static final long AGAIN_READ_MS = 700;
     private static final long WRITE_EVERY_MS = 10_000;
     /** Machines whose tasks begin to move in one commit, and tasks that leave in one. */
     private static final int MOST_MOVES = 5;
@@ -64,6 +63,7 @@
     private final MoveDesk moves;
     private final Disruptions disruptions;
     private final Rollouts rollouts;
+    private final AfterWinning reading;
     /** Null where drains are off. */
     private final DrainBook drains;
 
@@ -96,6 +96,7 @@
         this.disruptions = disruptions;
         this.rollouts = rollouts;
         this.drains = drains;
+        this.reading = new AfterWinning(turn, store, requests, book);
     }
 
     /** A new leadership begins: what the last one had in hand is read before anything is begun. */
@@ -110,34 +111,10 @@
         rollouts.begin();
         disruptions.begin();
         if (drains != null) {
-            read(null);
+            reading.read(RUNS, i -> runs.put(i.key().substring(RUNS.length()), Progress.parse(i.value())), () -> read = true);
         }
     }
 
-    private void read(String after) {
-        long reign = book.reign();
-        requests.take(turn.now(), 1);
-        store.list(RUNS, after, 100, page -> {
-            if (reign != book.reign()) {
-                return;
-            }
-            if (!page.ok()) {
-                turn.after(AGAIN_READ_MS, () -> {
-                    if (reign == book.reign()) {
-                        read(after);
-                    }
-                });
-                return;
-            }
-            page.items().forEach(i -> runs.put(i.key().substring(RUNS.length()), Progress.parse(i.value())));
-            if (page.more() && !page.items().isEmpty()) {
-                read(page.items().get(page.items().size() - 1).key());
-            } else {
-                read = true;
-            }
-        });
-    }
-
     // ---- which machines ----
 
     Selector.Machine machine(Host h) {
@@ -287,7 +264,7 @@
         Set<HostId> before = cordoned.put(d.name(), now);
         Set<HostId> gone = new HashSet<>(before == null ? Set.of() : before);
         gone.addAll(p.begun.keySet());
-        gone.removeIf(h -> book.known(h) != null);
+        gone.removeIf(h -> book.known(h) != null && !book.known(h).returning);
         if (!gone.isEmpty()) {
             p.gone += gone.size();
             gone.forEach(p.begun::remove);
--- a/src/main/java/org/beechhoist/core/KeySetApi.java
+++ b/src/main/java/org/beechhoist/core/KeySetApi.java
@@ -6,7 +6,6 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.TreeSet;
-import java.util.function.Consumer;
 import org.beechhoist.config.Settings;
 import org.beechhoist.keyset.KeySet;
 import org.beechhoist.keyset.KeySets;
@@ -18,7 +17,6 @@
 import org.beechhoist.wire.Codec;
 import org.beechhoist.wire.KeyPin;
 import org.beechhoist.wire.Malformed;
-import org.beechhoist.wire.Revision;
 
 /**
  * {@code /v1/keysets}: people propose, approve and revoke versions of key sets, and say which jobs need one. Each change is
@@ -26,7 +24,6 @@
  */
 final class KeySetApi {
     static final String PATH = "/v1/keysets";
-    private static final int MOST_RACES = 6;
     private static final int MOST_SETS = 1000;
     private static final int MOST_REQUIRED = 100;
     private static final int MOST_JOBS = 200;
@@ -44,6 +41,7 @@
     private final Budget requests;
     private final Budget writes;
     private final KeyBook keys;
+    private final Amending amending;
 
     KeySetApi(Turn turn, Settings settings, StoreClient store, Budget requests, Budget writes, KeyBook keys) {
         this.turn = turn;
@@ -52,14 +50,7 @@
         this.requests = requests;
         this.writes = writes;
         this.keys = keys;
-    }
-
-    private static ObjectNode error(String text) {
-        return Codec.map().put("error", text);
-    }
-
-    private static void unknown(CronApi.Answer answer) {
-        answer.with(503, error("the state service does not answer, or the key sets are not read yet"));
+        this.amending = new Amending(turn, store, requests, writes);
     }
 
     /** @param book of the leading node, or null: who is bound to a set is known there alone */
@@ -86,16 +77,16 @@
                 long version = Codec.count(n, "version", 1, Integer.MAX_VALUE);
                 String digest = Codec.text(n, "digest");
                 long drainS = Codec.absent(n, "drainS") ? USUAL_DRAIN_S : Codec.count(n, "drainS", 0, LONGEST_DRAIN_S);
-                change(name, true, before -> known(name, before).approve(version, digest, turn.wallMs() + 1000 * drainS, by), answer, 0);
+                change(name, true, before -> known(name, before).approve(version, digest, turn.wallMs() + 1000 * drainS, by), answer);
             } else if (verb.equals("revoke") && post) {
                 KeySet.Change by = by(n);
                 long version = Codec.count(n, "version", 1, Integer.MAX_VALUE);
-                change(name, false, before -> known(name, before).revoke(version, by), answer, 0);
+                change(name, false, before -> known(name, before).revoke(version, by), answer);
             } else {
-                answer.with(404, error("no such path"));
+                answer.with(404, Amending.error("no such path"));
             }
         } catch (Malformed e) {
-            answer.with(400, error(e.getMessage()));
+            answer.with(400, Amending.error(e.getMessage()));
         }
     }
 
@@ -127,57 +118,33 @@
         if (keys.known() && keys.names().size() >= MOST_SETS && !keys.names().contains(name)) {
             throw new Malformed("name = " + name + ": at most " + MOST_SETS + " key sets are allowed");
         }
-        change(name, false, before -> KeySet.propose(before, name, owner, classes, fingerprints, by), answer, 0);
+        change(name, false, before -> KeySet.propose(before, name, owner, classes, fingerprints, by), answer);
     }
 
     /** @param clears whether a mark of a mismatch goes with it: somebody has looked at what it holds, and says that it is right */
-    private void change(String name, boolean clears, Edit edit, CronApi.Answer answer, int races) {
+    private void change(String name, boolean clears, Edit edit, CronApi.Answer answer) {
         if (!KeySet.validName(name)) {
-            answer.with(404, error("no such key set"));
+            answer.with(404, Amending.error("no such key set"));
             return;
         }
-        if (!requests.tryTake(turn.now(), 1) || races > MOST_RACES) {
-            unknown(answer);
-            return;
-        }
-        store.get(KeyBook.SETS + name, r -> {
-            if (!r.known()) {
-                unknown(answer);
-                return;
-            }
+        amending.change(KeyBook.SETS + name, (before, then) -> {
             KeySet next;
             try {
-                next = edit.of(r.item() == null ? null : KeySet.parse(r.item().value()));
+                next = edit.of(before == null ? null : KeySet.parse(before));
             } catch (Malformed e) {
-                answer.with(r.item() == null && !e.getMessage().startsWith("fingerprints") ? 404 : 409, error(e.getMessage()));
-                return;
+                throw new Amending.Refused(before == null && !e.getMessage().startsWith("fingerprints") ? 404 : 409, e.getMessage());
             }
             ObjectNode value = next.toNode();
             if (Codec.countedBytes(value) > settings.stateLimits().valueBytes()) {
-                answer.with(400, error("fingerprints: with them the set takes more than " + settings.stateLimits().valueBytes() + " bytes"));
-                return;
+                throw new Malformed("fingerprints: with them the set takes more than " + settings.stateLimits().valueBytes() + " bytes");
             }
-            Txn txn = new Txn().guard(KeyBook.SETS + name, r.item() == null ? Revision.ABSENT : r.item().version()).put(KeyBook.SETS + name, value)
-                    .put(KeyBook.NUMBERS + name, Codec.map().put("number", next.number()));
-            if (clears && keys.snapshot().marks().containsKey(name)) {
-                txn.delete(KeyBook.MARKS + name);
-            }
-            commit(txn, c -> {
-                if (c.result() == Commit.Result.DONE) {
-                    answer.with(200, shown(next));
-                } else if (c.result() == Commit.Result.CONFLICT) {
-                    change(name, clears, edit, answer, races + 1);
-                } else {
-                    unknown(answer);
+            then.becomes(value, txn -> {
+                txn.put(KeyBook.NUMBERS + name, Codec.map().put("number", next.number()));
+                if (clears && keys.snapshot().marks().containsKey(name)) {
+                    txn.delete(KeyBook.MARKS + name);
                 }
-            });
-        });
-    }
-
-    private void commit(Txn txn, Consumer<Commit> then) {
-        requests.take(turn.now(), 1);
-        writes.take(turn.now(), txn.ops());
-        store.commit(txn, then);
+            }, shown(next));
+        }, answer);
     }
 
     /** Which classes and teams need a set. */
@@ -196,11 +163,13 @@
             ArrayNode row = value.putArray(field);
             names.stream().distinct().sorted().forEach(row::add);
         }
-        commit(new Txn().put(KeyBook.REQUIRED, value), c -> {
+        requests.take(turn.now(), 1);
+        writes.take(turn.now(), 1);
+        store.commit(new Txn().put(KeyBook.REQUIRED, value), c -> {
             if (c.result() == Commit.Result.DONE) {
                 answer.with(200, value);
             } else {
-                unknown(answer);
+                Amending.unknown(answer);
             }
         });
     }
@@ -218,7 +187,7 @@
 
     private void list(CronApi.Answer answer) {
         if (!keys.known()) {
-            unknown(answer);
+            Amending.unknown(answer);
             return;
         }
         ObjectNode out = Codec.map();
@@ -241,9 +210,9 @@
     private void show(String name, CronApi.Answer answer) {
         KeySets.Known k = keys.snapshot().sets().get(name);
         if (!keys.known()) {
-            unknown(answer);
+            Amending.unknown(answer);
         } else if (k == null || k.set() == null) {
-            answer.with(404, error("no such key set"));
+            answer.with(404, Amending.error("no such key set"));
         } else {
             answer.with(200, shown(k.set()));
         }
@@ -251,7 +220,7 @@
 
     private void jobs(String name, Book book, CronApi.Answer answer) {
         if (book == null) {
-            answer.with(421, error("who is bound to a key set is known to the leading node"));
+            answer.with(421, Amending.error("who is bound to a key set is known to the leading node"));
             return;
         }
         ObjectNode out = Codec.map();
--- a/src/main/java/org/beechhoist/core/MoveDesk.java
+++ b/src/main/java/org/beechhoist/core/MoveDesk.java
@@ -104,6 +104,7 @@
     private final Orders orders;
     private final Dispatch dispatch;
     private final MoveSearch search;
+    private final AfterWinning reading;
     private final Disruptions disruptions;
     private final Map<HostId, Making> making = new TreeMap<>();
     /** By the time of day when a task was last moved. */
@@ -128,6 +129,7 @@
         this.orders = orders;
         this.dispatch = dispatch;
         this.disruptions = disruptions;
+        this.reading = new AfterWinning(turn, store, requests, book);
         this.search = new MoveSearch(turn, types, book, admission, (j, p) -> !policy.drains() || mayDisturb(budgets.get(), j, p));
     }
 
@@ -166,24 +168,26 @@
 
     private void read() {
         long reign = book.reign();
-        requests.take(turn.now(), 2);
-        store.list(PREFIX, null, MOST_ROOMS * 4, page -> store.get(RECENT, recent -> {
+        reading.read(PREFIX, i -> {
+            Making m = Making.parse(i.key(), i.value());
+            making.put(m.host, m);
+            LOG.info("{}, {}: it is gone on with, {} moves", m.host, m.why(), m.to.size());
+        }, () -> recent(reign));
+    }
+
+    private void recent(long reign) {
+        if (reign != book.reign()) {
+            return;
+        }
+        requests.take(turn.now(), 1);
+        store.get(RECENT, recent -> {
             if (reign != book.reign()) {
                 return;
             }
-            if (!page.ok() || !recent.known()) {
-                turn.after(AGAIN_READ_MS, () -> {
-                    if (reign == book.reign()) {
-                        read();
-                    }
-                });
+            if (!recent.known()) {
+                turn.after(AGAIN_READ_MS, () -> recent(reign));
                 return;
             }
-            for (StoreClient.Item i : page.items()) {
-                Making m = Making.parse(i.key(), i.value());
-                making.put(m.host, m);
-                LOG.info("{}, {}: it is gone on with, {} moves", m.host, m.why(), m.to.size());
-            }
             if (recent.item() != null) {
                 recent.item().value().properties().forEach(e -> {
                     TaskId t = TaskId.parse(e.getKey());
@@ -194,7 +198,7 @@
             }
             read = true;
             book.replan();
-        }));
+        });
     }
 
     // ---- what the plan must know ----
--- a/src/main/java/org/beechhoist/core/ReleaseApi.java
+++ b/src/main/java/org/beechhoist/core/ReleaseApi.java
@@ -7,24 +7,17 @@
 import java.util.Comparator;
 import java.util.List;
 import java.util.TreeSet;
-import java.util.function.Consumer;
 import java.util.function.Predicate;
 import org.beechhoist.config.Settings;
-import org.beechhoist.cron.Calendar;
-import org.beechhoist.cron.ScheduleKeys;
 import org.beechhoist.release.Release;
 import org.beechhoist.store.Budget;
 import org.beechhoist.store.StoreClient;
-import org.beechhoist.store.StoreClient.Commit;
-import org.beechhoist.store.Txn;
 import org.beechhoist.wire.Codec;
 import org.beechhoist.wire.Malformed;
-import org.beechhoist.wire.Revision;
 
 /** {@code /v1/releases}: people put, move and remove what makers were promised; every change is a commit with its history. */
 final class ReleaseApi {
     static final String PATH = "/v1/releases";
-    private static final int MOST_RACES = 6;
     private static final int MOST_RELEASES = 500;
     private static final int MOST_TEXT = 120;
 
@@ -37,24 +30,18 @@
     private final Settings settings;
     private final StoreClient store;
     private final Budget requests;
-    private final Budget writes;
     private final ReleaseBook releases;
+    private final Amending amending;
+    private final OpenDays openDays;
 
     ReleaseApi(Turn turn, Settings settings, StoreClient store, Budget requests, Budget writes, ReleaseBook releases) {
         this.turn = turn;
         this.settings = settings;
         this.store = store;
         this.requests = requests;
-        this.writes = writes;
         this.releases = releases;
-    }
-
-    private static ObjectNode error(String text) {
-        return Codec.map().put("error", text);
-    }
-
-    private static void unknown(CronApi.Answer answer) {
-        answer.with(503, error("the state service does not answer, or the releases are not read yet"));
+        this.amending = new Amending(turn, store, requests, writes);
+        this.openDays = new OpenDays(turn, store, requests);
     }
 
     /** @param leader null on a node that does not lead: it knows no plan */
@@ -77,16 +64,16 @@
                 String why = text(n, "why");
                 var ship = Release.time("ship", Codec.text(n, "ship"));
                 change(name, null, (before, open) -> before.moved(ship, inTime(ship.toString(), Release.due(ship, before.zone(), before.leadDays(), open)), who,
-                        turn.wallMs(), why), answer, 0);
+                        turn.wallMs(), why), answer);
             } else if (verb.equals("remove") && post) {
                 String who = text(n, "who");
                 String why = text(n, "why");
-                change(name, null, (before, open) -> before.remove(who, turn.wallMs(), why), answer, 0);
+                change(name, null, (before, open) -> before.remove(who, turn.wallMs(), why), answer);
             } else {
-                answer.with(404, error("no such path"));
+                answer.with(404, Amending.error("no such path"));
             }
         } catch (Malformed e) {
-            answer.with(400, error(e.getMessage()));
+            answer.with(400, Amending.error(e.getMessage()));
         }
     }
 
@@ -116,85 +103,32 @@
             throw new Malformed("name = " + name + ": at most " + MOST_RELEASES + " releases are allowed, removed ones too");
         }
         change(name, described, (before, open) -> described.put(before, inTime(described.ship().toString(),
-                Release.due(described.ship(), described.zone(), described.leadDays(), open)), who, turn.wallMs(), why), answer, 0);
+                Release.due(described.ship(), described.zone(), described.leadDays(), open)), who, turn.wallMs(), why), answer);
     }
 
     /** @param described what is put, or null: what stands is changed */
-    private void change(String name, Release described, Edit edit, CronApi.Answer answer, int races) {
-        if (!requests.tryTake(turn.now(), 1) || races > MOST_RACES) {
-            unknown(answer);
-            return;
-        }
-        store.get(ReleaseBook.SETS + name, r -> {
-            if (!r.known()) {
-                unknown(answer);
-                return;
-            }
+    private void change(String name, Release described, Edit edit, CronApi.Answer answer) {
+        amending.change(ReleaseBook.SETS + name, (node, then) -> {
             Release before;
             try {
-                before = r.item() == null ? null : Release.parse(r.item().value());
+                before = node == null ? null : Release.parse(node);
             } catch (Malformed e) {
-                answer.with(409, error("the record can't be read: " + e.getMessage()));
-                return;
+                throw new Amending.Refused(409, "the record can't be read: " + e.getMessage());
             }
             if (described == null && (before == null || before.removed())) {
-                answer.with(404, error("name = " + name + ": the name of a release that stands is expected"));
-                return;
+                throw new Amending.Refused(404, "name = " + name + ": the name of a release that stands is expected");
             }
-            String calendar = described != null ? described.calendar() : before.calendar();
-            calendar(calendar, answer, open -> {
-                Release next;
-                try {
-                    next = edit.of(before, open);
-                } catch (Malformed e) {
-                    answer.with(400, error(e.getMessage()));
-                    return;
-                }
-                Txn txn = new Txn().guard(ReleaseBook.SETS + name, r.item() == null ? Revision.ABSENT : r.item().version())
-                        .put(ReleaseBook.SETS + name, next.toNode());
-                requests.take(turn.now(), 1);
-                writes.take(turn.now(), 1);
-                store.commit(txn, c -> {
-                    if (c.result() == Commit.Result.DONE) {
-                        answer.with(200, next.toNode());
-                    } else if (c.result() == Commit.Result.CONFLICT) {
-                        change(name, described, edit, answer, races + 1);
-                    } else {
-                        unknown(answer);
-                    }
-                });
+            openDays.of(described != null ? described.calendar() : before.calendar(), answer, open -> {
+                ObjectNode next = edit.of(before, open).toNode();
+                then.becomes(next, t -> { }, next);
             });
-        });
-    }
-
-    /** Hands over which days count by a named calendar; all do without one. */
-    private void calendar(String name, CronApi.Answer answer, Consumer<Predicate<LocalDate>> then) {
-        if (name == null) {
-            then.accept(d -> true);
-            return;
-        }
-        requests.take(turn.now(), 1);
-        store.get(ScheduleKeys.CALENDARS + name, r -> {
-            if (!r.known()) {
-                unknown(answer);
-                return;
-            }
-            try {
-                if (r.item() == null) {
-                    throw new Malformed("calendar = " + name + ": an installed calendar is expected");
-                }
-                Calendar c = Calendar.parse(r.item().value(), name);
-                then.accept(d -> c.closed(d) == null);
-            } catch (Malformed e) {
-                answer.with(400, error(e.getMessage()));
-            }
-        });
+        }, answer);
     }
 
     /** @param orderAlone which every node knows; what is done, and when it will be over, is known to the leading one alone */
     private void list(Leader leader, boolean orderAlone, CronApi.Answer answer) {
         if (!releases.read()) {
-            unknown(answer);
+            Amending.unknown(answer);
             return;
         }
         ObjectNode out = Codec.map();
@@ -213,9 +147,9 @@
     private void show(String name, CronApi.Answer answer) {
         Release r = releases.known(name);
         if (!releases.read()) {
-            unknown(answer);
+            Amending.unknown(answer);
         } else if (r == null) {
-            answer.with(404, error("no such release"));
+            answer.with(404, Amending.error("no such release"));
         } else {
             requests.take(turn.now(), 1);
             store.get(ReleaseDesk.REORDERED + name, m -> {
--- a/src/main/java/org/beechhoist/core/ReleaseDesk.java
+++ b/src/main/java/org/beechhoist/core/ReleaseDesk.java
@@ -10,6 +10,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
+import org.beechhoist.release.Calibration;
 import org.beechhoist.release.Forecast;
 import org.beechhoist.release.Release;
 import org.beechhoist.release.Releases;
@@ -34,6 +35,10 @@
     private static final double PLENTY = 0.5;
     private static final int MOST_TOLD = 50;
     private static final int MOST_TALLIED = 150;
+    /** Forecasts of one release that are held against what happens, this far apart; no release has this name. */
+    private static final int MOST_SAID = 8;
+    private static final long SAID_EVERY_MS = 30_000;
+    private static final String RATIOS = "~forecasts";
 
     private record Tally(int jobs, int tasks, double cpuS, long lastMs) {
     }
@@ -51,6 +56,9 @@
     private Map<JobRef, Long> keys = Map.of();
     private final Map<String, Tally> tallies = new TreeMap<>();
     private final Map<String, String> risks = new HashMap<>();
+    private final Calibration calibration = new Calibration();
+    /** By release: when it was said, and when it was said to end, by the time of day. */
+    private final Map<String, List<long[]>> said = new HashMap<>();
     private boolean tallied;
     private boolean tallyDirty;
     private Due next = new Due();
@@ -79,6 +87,8 @@
         keys = Map.of();
         tallies.clear();
         risks.clear();
+        calibration.clear();
+        said.clear();
         tallied = false;
         tallyDirty = false;
         next = new Due();
@@ -169,7 +179,9 @@
             next.lookMs = turn.now().ms() + LOOK_EVERY_MS;
             Map<String, List<Job>> jobs = jobsOf();
             for (Release r : releases.snapshot().all()) {
-                Forecast f = forecast(r, jobs.getOrDefault(r.name(), List.of()), planner);
+                List<Job> open = jobs.getOrDefault(r.name(), List.of());
+                remember(r, open, plannedEnd(open, planner));
+                Forecast f = forecast(r, open, planner);
                 String old = risks.put(r.name(), f.risk() == null ? "" : f.risk());
                 if (f.risk() != null && (old == null || old.isEmpty())) {
                     LOG.warn("release {} of {} is at risk: {}; {} s left to its factory moment", r.name(), r.maker(), f.risk(), (r.dueMs() - turn.wallMs()) / 1000);
@@ -183,8 +195,25 @@
         }
     }
 
+    /** What the plan says now is kept until the release's last job is over, and then held against that. */
+    private void remember(Release r, List<Job> open, long saidMs) {
+        List<long[]> before = said.computeIfAbsent(r.name(), k -> new ArrayList<>());
+        if (open.isEmpty()) {
+            Tally t = tallies.get(r.name());
+            if (t != null && !before.isEmpty()) {
+                before.forEach(s -> calibration.seen(s[0], s[1], t.lastMs));
+                tallyDirty = true;
+            }
+            before.clear();
+        } else if (saidMs > 0 && before.size() < MOST_SAID && (before.isEmpty() || turn.wallMs() - before.get(before.size() - 1)[0] >= SAID_EVERY_MS)) {
+            before.add(new long[] {turn.wallMs(), saidMs});
+        }
+    }
+
     private ObjectNode tallyNode() {
         ObjectNode n = Codec.map();
+        ArrayNode ratios = n.putArray(RATIOS);
+        calibration.ratios().forEach(x -> ratios.add(Math.round(100 * x)));
         tallies.entrySet().stream().sorted(Comparator.comparingLong(e -> -e.getValue().lastMs)).limit(MOST_TALLIED).forEach(e ->
                 n.putArray(e.getKey()).add(e.getValue().jobs).add(e.getValue().tasks).add(Math.round(e.getValue().cpuS)).add(e.getValue().lastMs));
         return n;
@@ -205,6 +234,10 @@
             if (r.item() != null) {
                 for (Map.Entry<String, JsonNode> e : r.item().value().properties()) {
                     JsonNode row = e.getValue();
+                    if (e.getKey().equals(RATIOS)) {
+                        row.forEach(x -> calibration.add(x.asDouble() / 100));
+                        continue;
+                    }
                     Tally t = tallies.getOrDefault(e.getKey(), new Tally(0, 0, 0, 0));
                     tallies.put(e.getKey(), new Tally(t.jobs + row.path(0).asInt(), t.tasks + row.path(1).asInt(), t.cpuS + row.path(2).asDouble(),
                             Math.max(t.lastMs, row.path(3).asLong())));
@@ -224,11 +257,20 @@
         return out;
     }
 
+    /** When the last of those that are planned is over by the plan, by the time of day; 0: none is planned. */
+    private long plannedEnd(List<Job> jobs, Planner planner) {
+        long end = 0;
+        for (Job j : jobs) {
+            Long planned = j.hold != null ? null : planner.plannedEnd(j);
+            end = planned == null ? end : Math.max(end, turn.wallMs() + planned - turn.now().ms());
+        }
+        return end;
+    }
+
     private Forecast forecast(Release r, List<Job> jobs, Planner planner) {
         int held = 0;
         int unplanned = 0;
         boolean limited = false;
-        long end = 0;
         long longest = 0;
         Map<String, double[]> used = book.usedByTeams();
         for (Job j : jobs) {
@@ -238,10 +280,10 @@
             Long planned = j.hold != null ? null : planner.plannedEnd(j);
             if (planned == null) {
                 unplanned += j.hold != null ? 0 : Math.max(1, planner.current() == null ? j.record.waitingCount() : planner.current().unplaced(j.ref()));
-            } else {
-                end = Math.max(end, turn.wallMs() + planned - turn.now().ms());
             }
         }
+        long said = plannedEnd(jobs, planner);
+        long end = said == 0 ? 0 : calibration.middle(turn.wallMs(), said);
         return Forecast.of(new Forecast.Facts(jobs.size(), held, unplanned, limited, end, longest), r.dueMs(), turn.wallMs());
     }
 
@@ -279,7 +321,9 @@
                 .put("cpuSAsked", Math.round(doneS + runningS + waitingS)).put("cpuSDone", Math.round(doneS)).put("cpuSRunning", Math.round(runningS))
                 .put("cpuSWaiting", Math.round(waitingS));
         if (f.endMs() > 0) {
-            n.put("endsInS", (f.endMs() - turn.wallMs()) / 1000.0).put("slackS", f.slackMs() / 1000.0);
+            long said = plannedEnd(jobs, planner);
+            n.put("endsInS", (f.endMs() - turn.wallMs()) / 1000.0).put("slackS", f.slackMs() / 1000.0).put("endsInSByPlan", (said - turn.wallMs()) / 1000.0)
+                    .put("nineOfTenInS", (calibration.late(turn.wallMs(), said) - turn.wallMs()) / 1000.0).put("forecastsSeen", calibration.size());
         }
         if (jobs.isEmpty() && t.lastMs > 0) {
             n.put("lastEnded", t.lastMs).put("met", t.lastMs <= r.dueMs());
--- a/src/test/java/org/beechhoist/sim/DrainTest.java
+++ b/src/test/java/org/beechhoist/sim/DrainTest.java
@@ -66,6 +66,7 @@
         assertEquals(0, d.begun, "tasks begun on machines that are emptied, seed " + seed);
         assertEquals(List.of(), w.machineNames().stream().filter(meant::contains).toList(), "machines that are still there, seed " + seed);
         assertEquals("over", drain(w, "all").path("now").asText(), drain(w, "all").toString());
+        assertTrue(drain(w, "all").path("gone").asInt() >= meant.size(), drain(w, "all").toString()); // those that still booted, too
         assertEquals(0, d.underFloor, "services with two replicas away on purpose, seed " + seed);
         w.runUntil(600_000);
         assertEquals(List.of(), w.unfinished(), "seed " + seed);
--- a/src/test/java/org/beechhoist/sim/ReleaseTest.java
+++ b/src/test/java/org/beechhoist/sim/ReleaseTest.java
@@ -208,4 +208,42 @@
     private static Release release(String maker, long due) {
         return new Release(maker, maker, "", LocalDateTime.of(2026, 1, 1, 0, 0), ZoneId.of("UTC"), 0, null, null, null, null, due, 1, false, List.of());
     }
+
+    /** Jobs that nobody has submitted yet are in no plan: the forecasts made so far are held against what happened, and the next ones are nearer; over a leader's fall too. */
+    @Test
+    void forecastsLearnFromWhatHappened() {
+        World w = world(460, 3, 1, ON);
+        Ships s = new Ships(w);
+        int releases = 16;
+        double[][] error = new double[2][2];
+        for (int i = 0; i < releases; i++) {
+            String name = "r-" + i;
+            long from = 5000 + 150_000L * i;
+            int later = i;
+            w.later(from, () -> s.put(name, "maker", w.now + 900_000));
+            for (int k = 0; k < 5; k++) { // its jobs come one after the other, each when the last is nearly over
+                w.later(from + 2000 + 22_000L * k, () -> s.submit(name, 8, 25));
+            }
+            w.later(from + 27_000, () -> {
+                JsonNode view = w.view("/v1/releases");
+                for (JsonNode row : view == null ? List.<JsonNode>of() : view.path("releases")) {
+                    if (row.path("name").asText().equals(name) && row.has("endsInS")) {
+                        double plan = row.path("endsInSByPlan").asDouble();
+                        double told = row.path("endsInS").asDouble();
+                        long at = w.now;
+                        w.later(115_000, () -> {
+                            long end = w.allJobs().stream().filter(j -> name.equals(s.releaseOf.get(j.spec.ref().text()))).mapToLong(j -> j.doneAt).max().orElse(0);
+                            error[later < releases / 2 ? 0 : 1][0] += Math.abs((end - at) / 1000.0 - plan);
+                            error[later < releases / 2 ? 0 : 1][1] += Math.abs((end - at) / 1000.0 - told);
+                        });
+                    }
+                }
+            });
+        }
+        w.later(150_000L * 10 + 60_000, () -> w.crash(w.leader(), 300));
+        w.runUntil(150_000L * releases + 200_000);
+        assertEquals(List.of(), w.unfinished());
+        assertTrue(error[1][0] > 100, "the plan alone is off by " + error[1][0] + " s");
+        assertTrue(error[1][1] < 0.6 * error[1][0], "off by " + error[1][1] + " s, the plan alone by " + error[1][0] + " s");
+    }
 }
