--- a/src/test/java/org/beechhoist/sim/FaultsTest.java
+++ b/src/test/java/org/beechhoist/sim/FaultsTest.java
@@ -154,7 +154,7 @@
 
     /** Nobody else may think that it leads after its lease; workers find another, and no lease of theirs ends for it. */
     @ParameterizedTest
-    @CsvSource({"1, false, 40000", "1, true, 40000", "2, false, 30000", "2, true, 90000", "1, false, 5000", "3, false, 40000"})
+    @CsvSource({"1, false, 40000", "1, true, 40000", "2, false, 30000", "2, true, 90000", "1, false, 5000", "3, false, 40000", "4, false, 40000", "4, true, 90000"})
     void aNodeThatOnlyItsWorkersReachSendsThemOn(int together, boolean refuses, long forMs) {
         for (long seed = 1; seed <= 2; seed++) {
             World w = world(70 + seed, 5, 10);
@@ -167,6 +167,8 @@
             int before = w.leader();
             if (together == 3) {
                 w.isolateOneWay(before, forMs);
+            } else if (together == 4) {
+                w.isolateWith(before, "a", refuses, forMs);
             } else {
                 w.isolate(before, refuses, forMs);
             }
--- a/src/test/java/org/beechhoist/sim/FaultsTrial.java
+++ b/src/test/java/org/beechhoist/sim/FaultsTrial.java
@@ -39,6 +39,7 @@
                 w.isolate((node + 1) % w.nodeCount(), w.random.nextBoolean(), drawn(w, 5000, 70_000));
             }
         }),
+        CUT_BUT_ONE_ZONE(w -> w.isolateWith(w.leader(), zone(w), w.random.nextBoolean(), drawn(w, 5000, 70_000))),
         ONE_WAY(w -> w.isolateOneWay(w.leader(), drawn(w, 10_000, 60_000))),
         MUTE(w -> w.mute(w.random.nextBoolean() ? w.leader() : w.random.nextInt(w.nodeCount()), drawn(w, 10_000, 60_000))),
         MID_ELECTION(w -> {
@@ -126,13 +127,14 @@
         Map<String, Served.Share> largest = Served.largest(w, USUAL_MS, j -> true);
         long wait = Served.longestWaitOfLargest(w, j -> true);
         System.out.printf("trial: faults seed=%d machines_up=%d troubles=%s jobs=%d unfinished=%d launches_to_deaf=%d same_in_a_row=%d"
-                + " launches_to_gone=%d copies=%d leases_ended=%d longest_unled_s=%.1f longest_unanswered_s=%.1f least_share=%.2f"
+                + " launches_to_gone=%d carried_out_twice=%d copies=%d leases_ended=%d longest_unled_s=%.1f longest_unanswered_s=%.1f least_share=%.2f"
                 + " least_share_of_largest=%.2f longest_wait_of_largest_s=%.1f changes=%d rules_broken=0%n", seed, most[0], String.join("+", told),
-                w.allJobs().size(), w.unfinished().size(), w.copies.launchesToDeaf, w.copies.mostInARow, w.copies.launchesToGone, w.copies.sent,
+                w.allJobs().size(), w.unfinished().size(), w.copies.launchesToDeaf, w.copies.mostInARow, w.copies.launchesToGone, w.toll.carriedOutTwice, w.copies.sent,
                 w.toll.lost(Worker.End.LAPSED), unled[1] / 1000.0, w.longestUnansweredMs / 1000.0, Served.least(served), Served.least(largest), wait / 1000.0,
                 w.counted.puts);
         assertTrue(most[0] > 450, most[0] + " machines");
         assertEquals(List.of(), w.unfinished());
+        assertEquals(0, w.toll.carriedOutTwice, "launches that were carried out twice");
         assertTrue(w.copies.mostInARow <= 2, "the same launch " + w.copies.mostInARow + " times to a machine that did not hear, or was gone");
         assertTrue(told.stream().anyMatch(t -> t.startsWith("deaf")) || w.toll.lost(Worker.End.LAPSED) == 0, "leases ended, and no machine was deaf");
         assertTrue(unled[1] <= (outage ? 40_000 : 20_000), unled[1] + " ms without a leader");
--- a/src/test/java/org/beechhoist/sim/Toll.java
+++ b/src/test/java/org/beechhoist/sim/Toll.java
@@ -47,7 +47,12 @@
         neverUsed += used.contains(host) ? 0 : 1;
     }
 
-    void started(TaskId t) {
+    /** Launches that were carried out once more: an attempt begins once. */
+    int carriedOutTwice;
+    private final Set<String> attempts = new HashSet<>();
+
+    void started(TaskId t, long attempt) {
+        carriedOutTwice += attempts.add(t + " " + attempt) ? 0 : 1;
         redone += finished.contains(t) ? 1 : 0;
     }
 
--- a/src/test/java/org/beechhoist/sim/World.java
+++ b/src/test/java/org/beechhoist/sim/World.java
@@ -144,6 +144,8 @@
         private long freezeMs;
         /** Until when workers, the state service, or anybody, can't reach it or be reached from it. */
         private long workersCutUntil;
+        /** Null, or the only zone whose workers it is not cut off from meanwhile. */
+        private String cutBut;
         private long stateCutUntil;
         private long peersCutUntil;
         /** Whether calls to the state service fail at once while it is cut, instead of hanging. */
@@ -764,7 +766,7 @@
     private boolean held(Machine m, Node n) {
         String zone = scale.extent.zoneOf(n.index);
         boolean apart = !zone.equals(m.worker.zone) && (zoneCut(zone) || zoneCut(m.worker.zone));
-        return m.cut() || apart || now < n.workersCutUntil;
+        return m.cut() || apart || now < n.workersCutUntil && !m.worker.zone.equals(n.cutBut);
     }
 
     private void toHost(Node from, Effect.Call c, Consumer<Outcome> back, long there) {
@@ -829,6 +831,13 @@
         nodes[node].peersCutUntil = now + forMs;
     }
 
+    /** The same, and of the workers only those of one zone are left to it. */
+    void isolateWith(int node, String zone, boolean refuses, long forMs) {
+        isolate(node, refuses, forMs);
+        nodes[node].cutBut = zone;
+        nodes[node].workersCutUntil = now + forMs;
+    }
+
     /** Workers' reports reach the node, and nothing that it says reaches them. */
     void mute(int node, long forMs) {
         trouble(forMs);
@@ -1038,7 +1047,7 @@
         started++;
         lost.back(task, now);
         starts.merge(task, 1, Integer::sum);
-        toll.started(task);
+        toll.started(task, attempt);
         toll.used(on.name);
         UserJob j = jobs.get(task.job().text());
         JobSpec s = j.spec;
@@ -1466,6 +1475,7 @@
     /** Workers can't reach the node, nor it them. */
     void cutWorkers(int node, long forMs) {
         trouble(forMs);
+        nodes[node].cutBut = null;
         nodes[node].workersCutUntil = now + forMs;
     }
 
