Drains: nothing is over before the list is seen, accounts stay small, bad input by field, value and what is allowed

Change: over only once the cloud's list was seen and a lag has passed, and it goes on if a machine turns up; spares are said anew each second; accounts tell ten classes apart and fold; one reader for put fields; any record that outgrows a value is refused with 400.

--- a/src/main/java/org/beechhoist/core/Amending.java
+++ b/src/main/java/org/beechhoist/core/Amending.java
@@ -3,6 +3,7 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.util.function.Consumer;
+import org.beechhoist.config.Settings;
 import org.beechhoist.store.Budget;
 import org.beechhoist.store.StoreClient;
 import org.beechhoist.store.StoreClient.Commit;
@@ -43,12 +44,14 @@
         void becomes(ObjectNode value, Consumer<Txn> more, ObjectNode shown);
     }
 
+    private final int valueBytes;
     private final Turn turn;
     private final StoreClient store;
     private final Budget requests;
     private final Budget writes;
 
-    Amending(Turn turn, StoreClient store, Budget requests, Budget writes) {
+    Amending(Turn turn, Settings settings, StoreClient store, Budget requests, Budget writes) {
+        this.valueBytes = settings.stateLimits().valueBytes();
         this.turn = turn;
         this.store = store;
         this.requests = requests;
@@ -88,6 +91,10 @@
             Revision version = r.item() == null ? Revision.ABSENT : r.item().version();
             try {
                 edit.of(r.item() == null ? null : r.item().value(), (value, more, shown) -> {
+                    if (value != null && Codec.countedBytes(value) > valueBytes) {
+                        answer.with(400, error(key + ": with this change it takes more than " + valueBytes + " bytes, as much as a value may have"));
+                        return;
+                    }
                     Txn txn = new Txn().guard(key, version);
                     if (value == null) {
                         txn.delete(key);
--- a/src/main/java/org/beechhoist/core/Controller.java
+++ b/src/main/java/org/beechhoist/core/Controller.java
@@ -99,7 +99,7 @@
         this.releases = policy.releases() ? new ReleaseBook(turn, store, requests, this::releaseChanged) : null;
         this.releaseApi = releases == null ? null : new ReleaseApi(turn, settings, store, requests, writes, releases);
         this.drains = policy.drains() ? new DrainBook(turn, store, requests, this::drainsChanged) : null;
-        this.drainApi = drains == null ? null : new DrainApi(turn, settings, store, requests, writes, drains);
+        this.drainApi = drains == null ? null : new DrainApi(turn, settings, store, requests, writes, types, drains);
         OnceKeys onceKeys = new OnceKeys(policy.cron(), keys);
         this.hearing = new Hearing(Math.round(1000 * settings.workers().reportS()));
         this.peers = new Peers(settings.seeds().keySet());
--- a/src/main/java/org/beechhoist/core/Disruptions.java
+++ b/src/main/java/org/beechhoist/core/Disruptions.java
@@ -37,6 +37,7 @@
     private static final long EVERY_MS = 1000;
     private static final long WRITE_EVERY_MS = 15_000;
     private static final double PLENTY = 0.5;
+    private static final int MOST_ROWS = 60;
     private static final int MOST_IN_ONE = 4;
     /** What was charged and not stopped for so long never will be: its leader fell in between, and its drain is over. */
     private static final long NEVER_STOPPED_MS = 30_000;
@@ -121,8 +122,11 @@
         return out;
     }
 
-    /** Whether the account still is of the size that a value may have. */
+    /** Whether the account is of the size that a value may have; it is made smaller first where that helps. */
     boolean fits(Account a) {
+        if (Codec.countedBytes(a.toNode()) > settings.stateLimits().valueBytes()) {
+            a.shrink();
+        }
         return Codec.countedBytes(a.toNode()) <= settings.stateLimits().valueBytes();
     }
 
@@ -204,6 +208,10 @@
         teams.forEach(t -> all.put(t, budgets.ofTeam(t)));
         budgets.all().stream().filter(b -> b.jobClass() != null).forEach(b -> all.put(b.key(), b));
         new TreeMap<>(all).forEach((key, b) -> {
+            if (rows.size() == MOST_ROWS) {
+                out.put("more", all.size() - MOST_ROWS);
+                return;
+            }
             String team = b.jobClass() == null ? key : b.team();
             Account a = accounts.getOrDefault(team, new Account());
             Account.Sum hour = a.lastHour(b.jobClass(), turn.wallMs());
--- a/src/main/java/org/beechhoist/core/DrainApi.java
+++ b/src/main/java/org/beechhoist/core/DrainApi.java
@@ -10,6 +10,7 @@
 import org.beechhoist.store.Budget;
 import org.beechhoist.store.StoreClient;
 import org.beechhoist.wire.Codec;
+import org.beechhoist.wire.HostType;
 import org.beechhoist.wire.Malformed;
 
 /** {@code /v1/drains} and {@code /v1/budgets}: operators have machines emptied or replaced, and say how much may be disturbed for it. */
@@ -21,15 +22,17 @@
 
     private final Turn turn;
     private final Settings settings;
+    private final Types types;
     private final DrainBook drains;
     private final Amending amending;
     private final OpenDays openDays;
 
-    DrainApi(Turn turn, Settings settings, StoreClient store, Budget requests, Budget writes, DrainBook drains) {
+    DrainApi(Turn turn, Settings settings, StoreClient store, Budget requests, Budget writes, Types types, DrainBook drains) {
+        this.types = types;
         this.turn = turn;
         this.settings = settings;
         this.drains = drains;
-        this.amending = new Amending(turn, store, requests, writes);
+        this.amending = new Amending(turn, settings, store, requests, writes);
         this.openDays = new OpenDays(turn, store, requests);
     }
 
@@ -87,7 +90,7 @@
 
     private void drain(String name, String verb, JsonNode n, DrainDesk desk, CronApi.Answer answer) throws Malformed {
         if (verb.equals("plan")) {
-            Drain described = Drain.described(name, n, turn.wallMs());
+            Drain described = described(name, n);
             answer.with(desk == null ? 421 : 200, desk == null ? Amending.error("this node does not lead: it knows no plan") : desk.foresee(described));
             return;
         }
@@ -124,11 +127,24 @@
         }, answer);
     }
 
-    private void put(String name, JsonNode n, String who, String why, CronApi.Answer answer) throws Malformed {
-        Drain described = Drain.described(name, n, turn.wallMs());
-        if (described.which().zone() != null && !settings.zones().contains(described.which().zone())) {
-            throw new Malformed("zone = " + described.which().zone() + ": one of " + new TreeSet<>(settings.zones()) + " is expected");
+    private Drain described(String name, JsonNode n) throws Malformed {
+        Drain d = Drain.described(name, n, turn.wallMs());
+        if (d.which().zone() != null && !settings.zones().contains(d.which().zone())) {
+            throw new Malformed("zone = " + d.which().zone() + ": one of " + new TreeSet<>(settings.zones()) + " is expected");
+        }
+        type("type", d.which().type());
+        type("with", d.with());
+        return d;
+    }
+
+    private void type(String field, String name) throws Malformed {
+        if (name != null && types.known() && types.get(name) == null) {
+            throw new Malformed(field + " = " + name + ": one of " + new TreeSet<>(types.all().stream().map(HostType::name).toList()) + " is expected");
         }
+    }
+
+    private void put(String name, JsonNode n, String who, String why, CronApi.Answer answer) throws Malformed {
+        Drain described = described(name, n);
         if (drains.known(name) == null && drains.drains().size() >= MOST_DRAINS) {
             throw new Malformed("name = " + name + ": at most " + MOST_DRAINS + " drains are allowed; remove some that are over");
         }
--- a/src/main/java/org/beechhoist/core/DrainDesk.java
+++ b/src/main/java/org/beechhoist/core/DrainDesk.java
@@ -46,6 +46,8 @@
     private static final int MOST_MOVES = 5;
     private static final int MOST_LEAVE = 40;
     private static final int LEAST_OPS = 3;
+    /** The cloud's list may be older than twice its lag, with what a look takes. */
+    private static final double LAGS = 2.5;
 
     private final Turn turn;
     private final Settings settings;
@@ -73,6 +75,8 @@
     private final Set<String> dirty = new HashSet<>();
     private boolean read;
     private boolean writing;
+    /** Nobody has put a drain, and nothing is left of the last one. */
+    private boolean idle;
     private Tick next = Tick.ZERO;
     private Tick nextWrite = Tick.ZERO;
 
@@ -107,6 +111,7 @@
         dirty.clear();
         read = false;
         writing = false;
+        idle = false;
         next = Tick.ZERO;
         rollouts.begin();
         disruptions.begin();
@@ -151,6 +156,7 @@
             String now = by.get(h.id);
             changed |= now == null ? h.cordonedBy != null : !now.equals(h.cordonedBy);
             h.cordonedBy = now;
+            h.spareOf = null; // whose spare it is, if anybody's, is said anew below
         }
         if (changed) {
             book.replan();
@@ -161,10 +167,15 @@
 
     void tick(Planner planner) {
         disruptions.tick();
-        if (drains == null || !drains.read() || turn.now().before(next) || drains.drains().isEmpty() && runs.isEmpty()) {
+        if (drains == null || !drains.read() || turn.now().before(next)) {
             return;
         }
         next = turn.now().plusMs(EVERY_MS);
+        boolean none = drains.drains().isEmpty() && runs.isEmpty();
+        if (none && idle) {
+            return;
+        }
+        idle = none;
         cordon();
         if (!read || !disruptions.known() || !moves.known()) {
             return;
@@ -215,9 +226,10 @@
             }
             write(d.name());
         }
-        if (p.overMs > 0) {
+        if (p.overMs > 0 && matched.isEmpty()) {
             return;
         }
+        p.overMs = 0; // the cloud's list lags: one of its machines may come up after all
         count(d, p);
         if (rollouts.spares(d, p)) {
             dirty.add(d.name());
@@ -248,7 +260,8 @@
         if (!lacking.isEmpty() && !booting) {
             rollouts.makePlace(d, p, lacking);
         }
-        if (!left && !d.keep() && p.begun.isEmpty()) {
+        boolean told = provisioner.listed() && turn.wallMs() - d.atMs() > Math.round(1000 * LAGS * settings.cloudLimits().listLagS());
+        if (!left && !d.keep() && p.begun.isEmpty() && told) {
             p.overMs = turn.wallMs();
             LOG.info("drain {} is over: {} machines gone, {} tasks and {} CPU s lost ({} and {} foreseen)", d.name(), p.gone, p.tasks, Math.round(p.cpuS),
                     p.tasksForeseen, Math.round(p.cpuSForeseen));
@@ -342,8 +355,12 @@
             boolean moves = places.containsKey(c.task());
             int more = (teams.contains(c.team()) ? 0 : 1) + (names.contains(h.cordonedBy) ? 0 : 1) + (moves && !moving.containsKey(c.host()) ? 1 : 0);
             boolean room = teams.size() + names.size() + moving.size() + more <= Math.max(LEAST_OPS, ops) && (!moves || moving.containsKey(c.host()) || moving.size() < MOST_MOVES);
-            if (!room || !disruptions.fits(accounts.get(c.team()))) {
+            boolean fits = disruptions.fits(accounts.get(c.team()));
+            if (!room || !fits) {
                 accounts.get(c.team()).undo(c.task()); // in the next round
+                if (!fits) {
+                    blocked.computeIfAbsent(h.cordonedBy, k -> new TreeMap<>()).merge("account of " + c.team() + ": it is as large as a value may be", 1, Integer::sum);
+                }
                 continue;
             }
             teams.add(c.team());
@@ -445,7 +462,7 @@
     ObjectNode view() {
         ObjectNode out = Codec.map();
         ArrayNode rows = out.putArray("drains");
-        drains.drains().forEach(d -> rows.add(view(d)));
+        drains.drains().forEach(d -> rows.add(view(d).without(List.of("history", "closed", "machines")))); // forty of them in one answer
         return out;
     }
 
--- a/src/main/java/org/beechhoist/core/DrainViews.java
+++ b/src/main/java/org/beechhoist/core/DrainViews.java
@@ -10,6 +10,8 @@
 
 /** What people are told of drains. */
 final class DrainViews {
+    private static final int MOST_WHY = 8;
+
     private DrainViews() {
     }
 
@@ -58,7 +60,10 @@
             left.into(n.putObject("left"));
         }
         ObjectNode why = n.putObject("blocked");
-        blocked.forEach(why::put);
+        blocked.entrySet().stream().sorted(Map.Entry.<String, Integer>comparingByValue().reversed()).limit(MOST_WHY).forEach(e -> why.put(e.getKey(), e.getValue()));
+        if (blocked.size() > MOST_WHY) {
+            why.put("and more", blocked.size() - MOST_WHY);
+        }
         return n;
     }
 }
--- a/src/main/java/org/beechhoist/core/KeySetApi.java
+++ b/src/main/java/org/beechhoist/core/KeySetApi.java
@@ -50,7 +50,7 @@
         this.requests = requests;
         this.writes = writes;
         this.keys = keys;
-        this.amending = new Amending(turn, store, requests, writes);
+        this.amending = new Amending(turn, settings, store, requests, writes);
     }
 
     /** @param book of the leading node, or null: who is bound to a set is known there alone */
@@ -134,11 +134,7 @@
             } catch (Malformed e) {
                 throw new Amending.Refused(before == null && !e.getMessage().startsWith("fingerprints") ? 404 : 409, e.getMessage());
             }
-            ObjectNode value = next.toNode();
-            if (Codec.countedBytes(value) > settings.stateLimits().valueBytes()) {
-                throw new Malformed("fingerprints: with them the set takes more than " + settings.stateLimits().valueBytes() + " bytes");
-            }
-            then.becomes(value, txn -> {
+            then.becomes(next.toNode(), txn -> {
                 txn.put(KeyBook.NUMBERS + name, Codec.map().put("number", next.number()));
                 if (clears && keys.snapshot().marks().containsKey(name)) {
                     txn.delete(KeyBook.MARKS + name);
--- a/src/main/java/org/beechhoist/core/Provisioner.java
+++ b/src/main/java/org/beechhoist/core/Provisioner.java
@@ -90,6 +90,11 @@
         nextTurn = turn.now();
     }
 
+    /** Whether this leadership has seen all machines that the cloud lists. */
+    boolean listed() {
+        return listed;
+    }
+
     /** Who knows which machines have a place that is kept for a task on its way. */
     void kept(Predicate<HostId> by) {
         kept = by;
--- a/src/main/java/org/beechhoist/core/ReleaseApi.java
+++ b/src/main/java/org/beechhoist/core/ReleaseApi.java
@@ -40,7 +40,7 @@
         this.store = store;
         this.requests = requests;
         this.releases = releases;
-        this.amending = new Amending(turn, store, requests, writes);
+        this.amending = new Amending(turn, settings, store, requests, writes);
         this.openDays = new OpenDays(turn, store, requests);
     }
 
--- a/src/main/java/org/beechhoist/drain/Account.java
+++ b/src/main/java/org/beechhoist/drain/Account.java
@@ -4,7 +4,9 @@
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.Map;
+import java.util.Set;
 import java.util.TreeMap;
 import org.beechhoist.wire.Codec;
 import org.beechhoist.wire.TaskId;
@@ -18,6 +20,9 @@
     private static final long SLOT_MS = 300_000;
     /** What one record can hold beside its sums. */
     private static final int MOST_REMEMBERED = 100;
+    /** Classes that are told apart; what comes beyond is counted together. */
+    private static final int MOST_CLASSES = 10;
+    private static final String OTHERS = "others";
 
     /** A task that was stopped on purpose and does not run again yet; {@code attempt} is the one that was stopped. */
     public record Away(long attempt, String jobClass, Cause cause, double lostCpuS, long atMs) {
@@ -49,9 +54,25 @@
         return jobClass + " " + cause.name();
     }
 
+    private String toldApart(String jobClass) {
+        Set<String> classes = new HashSet<>();
+        sums().keySet().forEach(k -> classes.add(k.substring(0, k.indexOf(' '))));
+        return classes.contains(jobClass) || classes.size() < MOST_CLASSES ? jobClass : OTHERS;
+    }
+
+    /** Takes less room: all of the hour counts as of its newest slot, so that it counts for longer. */
+    public void shrink() {
+        if (slots.size() > 1) {
+            Map<String, Sum> newest = slots.lastEntry().getValue();
+            long at = slots.lastKey();
+            slots.headMap(at).values().forEach(m -> m.forEach((k, s) -> newest.merge(k, s, (x, y) -> x.plus(y.tasks, y.cpuS))));
+            slots.headMap(at).clear();
+        }
+    }
+
     /** One task was disturbed. */
     public void charge(TaskId task, Away a) {
-        slots.computeIfAbsent(a.atMs / SLOT_MS, k -> new TreeMap<>()).merge(row(a.jobClass, a.cause), new Sum(1, a.lostCpuS), (x, y) -> x.plus(y.tasks, y.cpuS));
+        slots.computeIfAbsent(a.atMs / SLOT_MS, k -> new TreeMap<>()).merge(row(toldApart(a.jobClass), a.cause), new Sum(1, a.lostCpuS), (x, y) -> x.plus(y.tasks, y.cpuS));
         if (a.cause.onPurpose()) {
             away.put(task, a);
             last.put(task, a.atMs);
@@ -70,9 +91,12 @@
             return;
         }
         last.remove(task);
-        Map<String, Sum> slot = slots.get(a.atMs / SLOT_MS);
-        Map<String, Sum> in = slot != null ? slot : before;
-        in.computeIfPresent(row(a.jobClass, a.cause), (k, s) -> s.tasks > 1 ? s.plus(-1, -a.lostCpuS) : null);
+        String row = row(toldApart(a.jobClass), a.cause);
+        Map<String, Sum> in = before;
+        for (Map<String, Sum> slot : slots.tailMap(a.atMs / SLOT_MS).values()) {
+            in = in == before && slot.containsKey(row) ? slot : in; // its own slot, or the one that this was folded into
+        }
+        in.computeIfPresent(row, (k, s) -> s.tasks > 1 ? s.plus(-1, -a.lostCpuS) : null);
     }
 
     public Map<TaskId, Away> away() {
--- a/src/main/java/org/beechhoist/drain/DisruptionBudget.java
+++ b/src/main/java/org/beechhoist/drain/DisruptionBudget.java
@@ -25,7 +25,6 @@
     /** Accounts remember a task for so long. */
     public static final long MOST_AGAIN_S = 3600;
     private static final double MOST_LOST = 1e9;
-    private static final String NAME = "[A-Za-z0-9][A-Za-z0-9._-]{0,59}";
 
     /** The name that it goes by: the team's, or the team's and the class's. */
     public String key() {
@@ -38,42 +37,15 @@
 
     /** What a person puts, checked; what is left out is as {@link #USUAL} says. */
     public static DisruptionBudget described(JsonNode n, String who, long atMs, String why, long number) throws Malformed {
-        String team = name(n, "team");
-        String jobClass = Codec.absent(n, "class") ? null : name(n, "class");
+        String team = Fields.name("team", Codec.text(n, "team"));
+        String jobClass = Fields.text(n, "class");
         if (team.equals(DEFAULT) && jobClass != null) {
             throw new Malformed("class = " + jobClass + ": the default is for all classes");
         }
-        int atOnce = (int) count(n, "atOnce", USUAL.atOnce, MOST_AT_ONCE);
-        double lost = Codec.absent(n, "lostCpuSPerHour") ? USUAL.lostCpuSPerHour : number(n, "lostCpuSPerHour", MOST_LOST);
-        Double up = Codec.absent(n, "leastUp") ? null : Double.valueOf(number(n, "leastUp", 1));
-        return new DisruptionBudget(team, jobClass, atOnce, lost, up, count(n, "againS", USUAL.againS, MOST_AGAIN_S), who, atMs, why, number);
-    }
-
-    private static String name(JsonNode n, String field) throws Malformed {
-        String s = Codec.text(n, field);
-        if (!s.matches(NAME)) {
-            throw new Malformed(field + " = " + s + ": 1 to 60 letters, digits, dots, dashes and underlines are expected");
-        }
-        return s;
-    }
-
-    private static long count(JsonNode n, String field, long fallback, long most) throws Malformed {
-        if (Codec.absent(n, field)) {
-            return fallback;
-        }
-        try {
-            return Codec.count(n, field, 0, most);
-        } catch (Malformed e) {
-            throw new Malformed(field + " = " + n.get(field) + ": a whole number from 0 to " + most + " is expected");
-        }
-    }
-
-    private static double number(JsonNode n, String field, double most) throws Malformed {
-        JsonNode v = n.get(field);
-        if (!v.isNumber() || !(v.doubleValue() >= 0 && v.doubleValue() <= most)) {
-            throw new Malformed(field + " = " + v + ": a number from 0 to " + most + " is expected");
-        }
-        return v.doubleValue();
+        int atOnce = (int) Fields.count(n, "atOnce", USUAL.atOnce, 0, MOST_AT_ONCE);
+        double lost = Fields.number(n, "lostCpuSPerHour", USUAL.lostCpuSPerHour, 0, MOST_LOST);
+        Double up = Codec.absent(n, "leastUp") ? null : Double.valueOf(Fields.number(n, "leastUp", 1, 0, 1));
+        return new DisruptionBudget(team, jobClass, atOnce, lost, up, Fields.count(n, "againS", USUAL.againS, 0, MOST_AGAIN_S), who, atMs, why, number);
     }
 
     /** How many of a service's replicas may be away. */
--- a/src/main/java/org/beechhoist/drain/Drain.java
+++ b/src/main/java/org/beechhoist/drain/Drain.java
@@ -23,7 +23,6 @@
  */
 public record Drain(String name, boolean replace, String with, Selector which, Pace pace, long byMs, long untilMs, boolean keep, Rest rest, State state, long atMs,
         long number, List<Past> history) {
-    private static final String NAME = "[A-Za-z0-9][A-Za-z0-9._-]{0,59}";
     private static final int MOST_HISTORY = 12;
     private static final long LONGEST_S = 30L * 86_400;
 
@@ -40,18 +39,12 @@
     public record Past(String what, String who, long atMs, String why) {
     }
 
-    public static boolean validName(String name) {
-        return name.matches(NAME);
-    }
-
     /** What a person puts, checked; times count from now. */
     public static Drain described(String name, JsonNode n, long nowMs) throws Malformed {
-        if (!validName(name)) {
-            throw new Malformed("name = " + name + ": 1 to 60 letters, digits, dots, dashes and underlines are expected");
-        }
-        boolean replace = !Codec.absent(n, "replace") && Codec.bool(n, "replace");
-        boolean keep = !Codec.absent(n, "keep") && Codec.bool(n, "keep");
-        String with = Codec.absent(n, "with") ? null : Codec.text(n, "with");
+        Fields.name("name", name);
+        boolean replace = Fields.flag(n, "replace");
+        boolean keep = Fields.flag(n, "keep");
+        String with = Fields.text(n, "with");
         if (with != null && !replace) {
             throw new Malformed("with = " + with + ": only machines that are replaced have others in their place");
         }
@@ -67,14 +60,8 @@
     }
 
     private static long seconds(JsonNode n, String field, long nowMs) throws Malformed {
-        if (Codec.absent(n, field)) {
-            return 0;
-        }
-        try {
-            return nowMs + 1000 * Codec.count(n, field, 1, LONGEST_S);
-        } catch (Malformed e) {
-            throw new Malformed(field + " = " + n.get(field) + ": whole seconds from 1 to " + LONGEST_S + " are expected");
-        }
+        long s = Fields.count(n, field, 0, 1, LONGEST_S);
+        return s == 0 ? 0 : nowMs + 1000 * s;
     }
 
     public Drain with(Rest other) {
--- a/src/main/java/org/beechhoist/drain/Pace.java
+++ b/src/main/java/org/beechhoist/drain/Pace.java
@@ -2,7 +2,6 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
-import org.beechhoist.wire.Codec;
 import org.beechhoist.wire.Malformed;
 
 /**
@@ -33,14 +32,7 @@
     }
 
     private static int count(JsonNode n, String field, long fallback, long least, long most) throws Malformed {
-        if (Codec.absent(n, field)) {
-            return (int) fallback;
-        }
-        try {
-            return (int) Codec.count(n, field, least, most);
-        } catch (Malformed e) {
-            throw new Malformed(field + " = " + n.get(field) + ": a whole number from " + least + " to " + most + " is expected");
-        }
+        return (int) Fields.count(n, field, fallback, least, most);
     }
 
     void into(ObjectNode n, boolean steps) {
--- a/src/main/java/org/beechhoist/drain/Rest.java
+++ b/src/main/java/org/beechhoist/drain/Rest.java
@@ -42,7 +42,11 @@
         Set<LocalDate> closed = new TreeSet<>();
         if (!Codec.absent(n, "closed")) {
             for (String day : Codec.texts(n.get("closed"), "closed")) {
-                closed.add(LocalDate.parse(day));
+                try {
+                    closed.add(LocalDate.parse(day));
+                } catch (DateTimeParseException e) {
+                    throw new Malformed("closed = " + day + ": a date such as 2026-12-29 is expected");
+                }
             }
         }
         return new Rest(hours ? time(n, "from") : null, hours ? time(n, "to") : null, zone, calendar, closed);
--- a/src/main/java/org/beechhoist/drain/Selector.java
+++ b/src/main/java/org/beechhoist/drain/Selector.java
@@ -21,6 +21,7 @@
 public record Selector(Set<String> names, String type, String zone, Boolean spot, long olderThanS, double share) {
     public static final int MOST_NAMES = 100;
     private static final long LONGEST_S = 366L * 86_400;
+    private static final double LEAST_SHARE = 0.001;
     private static final double HASHES = 4294967296.0;
 
     /** @param rentedWallMs by the time of day; 0: not known */
@@ -45,15 +46,12 @@
                 throw new Malformed("machines = " + names.size() + " names: 1 to " + MOST_NAMES + " are expected");
             }
         }
-        String type = Codec.absent(n, "type") ? null : Codec.text(n, "type");
-        String zone = Codec.absent(n, "zone") ? null : Codec.text(n, "zone");
-        Boolean spot = Codec.absent(n, "spot") ? null : Codec.bool(n, "spot");
-        long older = Codec.absent(n, "olderThanS") ? 0 : Codec.count(n, "olderThanS", 0, LONGEST_S);
-        double share = Codec.absent(n, "share") ? 1 : Codec.number(n, "share", 0);
-        if (share <= 0 || share > 1) {
-            throw new Malformed("share = " + share + ": more than 0 and at most 1 is expected");
-        }
-        boolean all = !Codec.absent(n, "all") && Codec.bool(n, "all");
+        String type = Fields.text(n, "type");
+        String zone = Fields.text(n, "zone");
+        Boolean spot = Codec.absent(n, "spot") ? null : Boolean.valueOf(Fields.flag(n, "spot"));
+        long older = Fields.count(n, "olderThanS", 0, 0, LONGEST_S);
+        double share = Fields.number(n, "share", 1, LEAST_SHARE, 1);
+        boolean all = Fields.flag(n, "all");
         boolean some = type != null || zone != null || spot != null || older > 0 || share < 1;
         if (names.isEmpty() ? !all && !some : all || some) {
             throw new Malformed("machines, type, zone, spot, olderThanS, share, all: names alone, or some of the others, or all = true are expected");
--- a/src/test/java/org/beechhoist/drain/DrainDecisionsTest.java
+++ b/src/test/java/org/beechhoist/drain/DrainDecisionsTest.java
@@ -198,7 +198,7 @@
         Drain paused = d.to(Drain.State.PAUSED, "paused", "ops", NOW + 5, "too loud");
         assertEquals(2, paused.number());
         assertEquals(paused, Drain.parse(paused.toNode()));
-        for (String[] bad : new String[][] {{"atOnce", "0"}, {"waitS", "-1"}, {"inS", "0"}}) {
+        for (String[] bad : new String[][] {{"atOnce", "0"}, {"waitS", "-1"}, {"inS", "0"}, {"olderThanS", "-5"}}) {
             Malformed e = assertThrows(Malformed.class, () -> Drain.described("night", n.deepCopy().put(bad[0], Integer.parseInt(bad[1])), NOW));
             assertTrue(e.getMessage().startsWith(bad[0] + " = " + bad[1]) && e.getMessage().contains("expected"), e.getMessage());
         }
@@ -209,4 +209,22 @@
         assertEquals(2, b.mayBeAway(5));
         assertThrows(Malformed.class, () -> DisruptionBudget.described(Codec.map().put("team", "blue").put("leastUp", 1.5), "ops", NOW, "", 1));
     }
+
+    /** However many classes and tasks there were, an account fits a value: it is folded, and counts the hour for longer rather than shorter. */
+    @Test
+    void accountsStaySmall() {
+        Account a = new Account();
+        for (int i = 0; i < 3000; i++) {
+            a.charge(task(1 + i % 9, i), new Account.Away(i, "class-" + i % 40, Cause.values()[i % 3 == 0 ? 3 : 7], 1, NOW + i * 1000L));
+        }
+        for (int i = 0; i < 60; i++) {
+            a.charge(task(1 + i % 9, i), new Account.Away(i, "class-" + i % 40, Cause.DRAIN, 1, NOW + 3_000_000));
+        }
+        double hour = a.lastHour(null, NOW + 3_000_000).cpuS();
+        a.shrink();
+        assertEquals(hour, a.lastHour(null, NOW + 3_000_000).cpuS(), 1e-6);
+        assertTrue(Codec.countedBytes(a.toNode()) < 8 * 1024, Codec.countedBytes(a.toNode()) + " bytes");
+        a.undo(task(1, 0));
+        assertEquals(hour - 1, a.lastHour(null, NOW + 3_000_000).cpuS(), 1e-6);
+    }
 }
--- a/src/test/java/org/beechhoist/sim/DrainTest.java
+++ b/src/test/java/org/beechhoist/sim/DrainTest.java
@@ -232,7 +232,8 @@
         w.at(w.leader(), "POST", "/v1/drains/d/plan", Codec.encode(Codec.map().put("all", true).put("waitS", 0)), a -> told[0] = a.body());
         w.runUntil(61_000);
         assertTrue(told[0].path("machines").asInt() > 3 && told[0].path("tasks").asInt() > 3 && told[0].path("byTeamAndClass").has("blue serve"), told[0].toString());
-        for (String[] bad : new String[][] {{"/v1/drains/d/put", "zone", "nowhere"}, {"/v1/budgets/green/put", "team", "green"}}) {
+        for (String[] bad : new String[][] {{"/v1/drains/d/put", "zone", "nowhere"}, {"/v1/drains/d/put", "type", "huge"},
+            {"/v1/budgets/green/put", "team", "green"}}) {
             int[] status = new int[1];
             w.request("POST", bad[0], Codec.map().put("who", "ops").put("why", "x").put(bad[1], bad[2]), a -> {
                 status[0] = a.status();
@@ -243,4 +244,29 @@
         }
         assertEquals(List.of(), w.keys("dr/put/"));
     }
+
+    /** A leader that has won and not seen the cloud's list knows of no machine: no drain is over for that. And what stood by for one that is undone is let go. */
+    @Test
+    void nothingIsOverBeforeTheListIsSeen() {
+        World w = world(81, 3, 10);
+        work(w, 150_000, 0);
+        w.runUntil(80_000);
+        ask(w, "/v1/drains/roll/put", n -> n.put("all", true).put("replace", true).put("canary", 1).put("atOnce", 4).put("spare", 4).put("holdS", 5).put("waitS", 60));
+        w.runUntil(110_000);
+        for (int i = 0; i < 4; i++) {
+            w.cloudOutage(12_000);
+            w.crashAll(k -> 300 + 200L * k);
+            for (int t = 0; t < 20; t++) {
+                w.runUntil(w.now + 1000);
+                JsonNode row = drain(w, "roll");
+                boolean over = row != null && row.path("now").asText().equals("over");
+                assertTrue(!over, "it is called over at " + w.now + ": " + row);
+            }
+        }
+        ask(w, "/v1/drains/roll/abort", n -> { });
+        w.runUntil(400_000);
+        int idle = (int) w.machineNames().stream().filter(h -> w.on(h).isEmpty()).count();
+        assertTrue(idle <= 2, idle + " machines stand idle long after it was undone");
+        assertEquals(List.of(), w.unfinished());
+    }
 }
