--- a/src/main/java/org/beechhoist/core/MoveDesk.java
+++ b/src/main/java/org/beechhoist/core/MoveDesk.java
@@ -111,6 +111,8 @@
     private final Map<TaskId, Long> moved = new HashMap<>();
     private final Map<Double, Double> asked = new HashMap<>();
     private boolean read;
+    /** Whether what the last leader had in hand is being read, or was. */
+    private boolean asking;
     private boolean writing;
     private long nextLook;
 
@@ -151,6 +153,7 @@
         moved.clear();
         asked.clear();
         read = false;
+        asking = false;
         writing = false;
         nextLook = 0;
         if (on()) {
@@ -168,6 +171,7 @@
 
     private void read() {
         long reign = book.reign();
+        asking = true;
         reading.read(PREFIX, i -> {
             Making m = Making.parse(i.key(), i.value());
             making.put(m.host, m);
@@ -299,9 +303,8 @@
 
     void tick(Plan plan) {
         if (!on() || !read) {
-            if (on() && making.isEmpty() && !read && !writing && nextLook == 0) {
-                nextLook = 1; // machine types came to be known only now
-                read();
+            if (on() && !asking) {
+                read(); // machine types came to be known only now
             }
             return;
         }
