Drains rent as many places as machines lack one, 20 booting at once

Change: one machine for each that has a replica without a place, 20 that boot at once; those that boot count.

--- a/src/main/java/org/beechhoist/core/DrainDesk.java
+++ b/src/main/java/org/beechhoist/core/DrainDesk.java
@@ -256,8 +256,7 @@
                 }
             }
         }
-        boolean booting = p.spares.keySet().stream().map(book::known).anyMatch(h -> h != null && !h.up);
-        if (!lacking.isEmpty() && !booting) {
+        if (!lacking.isEmpty()) {
             rollouts.makePlace(d, p, lacking);
         }
         boolean told = provisioner.listed() && turn.wallMs() - d.atMs() > Math.round(1000 * LAGS * settings.cloudLimits().listLagS());
--- a/src/main/java/org/beechhoist/core/Rollouts.java
+++ b/src/main/java/org/beechhoist/core/Rollouts.java
@@ -23,7 +23,7 @@
     /** Groups that asked for less say nothing of a half. */
     private static final int LEAST_ASKED = 6;
     /** Machines that boot at once to have a place for what leaves. */
-    private static final int MOST_PLACES = 3;
+    private static final int MOST_PLACES = 20;
 
     private final Turn turn;
     private final Book book;
@@ -157,9 +157,11 @@
         return changed;
     }
 
-    /** What leaves has nowhere to go: machines of the same kind as those that it leaves, a few at a time. */
+    /** What leaves has nowhere to go: a machine of the same kind for each of those that it leaves, some at a time. */
     void makePlace(Drain d, Progress p, Map<String, Integer> kinds) {
-        standBy(d, p, Math.min(MOST_PLACES, kinds.values().stream().mapToInt(Integer::intValue).sum()), kinds);
+        int lacking = kinds.values().stream().mapToInt(Integer::intValue).sum();
+        int booting = (int) p.spares.keySet().stream().map(book::known).filter(h -> h != null && !h.up).count();
+        standBy(d, p, Math.min(MOST_PLACES, lacking) - booting, kinds);
     }
 
     /** What the kind of a machine is called here. */
