--- a/src/main/java/org/beechhoist/core/Disruptions.java
+++ b/src/main/java/org/beechhoist/core/Disruptions.java
@@ -39,7 +39,7 @@
     private static final double PLENTY = 0.5;
     private static final int MOST_ROWS = 60;
     private static final int MOST_IN_ONE = 4;
-    /** What was charged and not stopped for so long never will be: its leader fell in between, and its drain is over. */
+    /** What was charged and not stopped for so long may never be: its leader fell in between, and its drain is over. */
     private static final long NEVER_STOPPED_MS = 30_000;
 
     private final Turn turn;
@@ -171,13 +171,20 @@
         if (over || p != null && p.attempt > away.attempt() && p.running != null) {
             a.back(t);
             dirty.add(team);
-        } else if (p != null && p.attempt == away.attempt() && !p.killSent && !moving.test(p.host) && turn.wallMs() - away.atMs() > NEVER_STOPPED_MS) {
+        } else if (p != null && p.attempt == away.attempt() && !p.killSent && turn.wallMs() - away.atMs() > NEVER_STOPPED_MS && neverLeaves(p)) {
             LOG.info("{} was to leave {} and never had to: its charge is given back", t, p.host);
             a.undo(t);
             dirty.add(team);
         }
     }
 
+    /** Nobody empties its machine any more, and a report since this leadership began shows it there: an earlier leader's stop can't come any more. */
+    private boolean neverLeaves(Placement p) {
+        Host h = book.known(p.host);
+        return h != null && h.cordonedBy == null && !moving.test(h.id) && p.seen && h.lastCheckin != null
+                && h.lastCheckin.baton().compareTo(election.firstBaton()) >= 0;
+    }
+
     private void write() {
         Txn txn = election.guarded();
         Set<String> teams = new HashSet<>();
