A replica that lost its new place gets its charge back on a machine that is emptied, too

Change: for replicas, which leave only by MoveDesk, the machine being emptied is no reason to wait: a report since this leadership began shows it there, and nothing of it is on its way.

--- a/src/main/java/org/beechhoist/core/Disruptions.java
+++ b/src/main/java/org/beechhoist/core/Disruptions.java
@@ -171,17 +171,20 @@
         if (over || p != null && p.attempt > away.attempt() && p.running != null) {
             a.back(t);
             dirty.add(team);
-        } else if (p != null && p.attempt == away.attempt() && !p.killSent && turn.wallMs() - away.atMs() > NEVER_STOPPED_MS && neverLeaves(p)) {
+        } else if (p != null && p.attempt == away.attempt() && !p.killSent && turn.wallMs() - away.atMs() > NEVER_STOPPED_MS && neverLeaves(j, p)) {
             LOG.info("{} was to leave {} and never had to: its charge is given back", t, p.host);
             a.undo(t);
             dirty.add(team);
         }
     }
 
-    /** Nobody empties its machine any more, and a report since this leadership began shows it there: an earlier leader's stop can't come any more. */
-    private boolean neverLeaves(Placement p) {
+    /**
+     * Nobody stops it any more: its machine is not emptied, or it is a replica that lost the place it was to move to. And a report since
+     * this leadership began shows it there: an earlier leader's stop can't come any more.
+     */
+    private boolean neverLeaves(Job j, Placement p) {
         Host h = book.known(p.host);
-        return h != null && h.cordonedBy == null && !moving.test(h.id) && p.seen && h.lastCheckin != null
+        return h != null && (h.cordonedBy == null || j.spec().service()) && !moving.test(h.id) && p.seen && h.lastCheckin != null
                 && h.lastCheckin.baton().compareTo(election.firstBaton()) >= 0;
     }
 
