--- a/src/main/java/org/beechhoist/regress/Regress.java
+++ b/src/main/java/org/beechhoist/regress/Regress.java
@@ -20,6 +20,8 @@
     /** What storage, membership, timers and messages between machines are made of. A change elsewhere owes the operations sites alone. */
     private static final Pattern BETWEEN_MACHINES =
             Pattern.compile("src/main/(java/org/beechhoist/(store|peer|net|http|wire|core|daemon|config|plan)/|resources/).*|deploy/service\\.toml|pom\\.xml");
+    /** The newest build of the bench, which serves all sites. Figures of an older one are no baseline. */
+    private static final String BENCH = "more/hunt/bin/fleetbench";
     private static final int FELL = 1;
     private static final int NO_BENCH = 3;
 
@@ -65,7 +67,7 @@
             now = new ArrayList<>();
             split(journal.days(journal.names()), before, now);
         } else {
-            Path bench = kit.resolve("more/fleet/bin/fleetbench");
+            Path bench = kit.resolve(BENCH);
             List<String> sites = sites();
             if (!Files.isExecutable(bench) || sites.isEmpty()) {
                 System.err.println("regress: " + bench + ": no bench and sites there, nothing was played");
@@ -108,11 +110,12 @@
         return sites(kit, fleetToo(changed()));
     }
 
-    /** The operations sites, which took the place of the grown ones, and the fleet's where they are owed. */
+    /** The operations sites, which took the place of the grown ones, and the fleet's where they are owed, with those of the hunt. */
     static List<String> sites(Path kit, boolean fleet) throws IOException {
         List<String> out = files(kit.resolve("more"));
         if (fleet) {
             out.addAll(files(kit.resolve("more/fleet")));
+            out.addAll(files(kit.resolve("more/hunt")));
         }
         return out;
     }
