--- /dev/null
+++ b/review/standins/Case2.java
@@ -0,0 +1,78 @@
+package review;
+
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.nio.file.Path;
+
+/**
+ * A job that names many machine types loses a few tasks to one faulty machine. The rule: another job, submitted after
+ * that, is not left waiting for 90 s while a machine that fits has room.
+ */
+public final class Case2 {
+    /** The cloud offers these machine types beside the first one, and the job allows all of them. */
+    private static final int MORE_TYPES = 400;
+
+    private static final int TASKS = 100;
+    private static final double CORES = 0.5;
+    private static final double TASK_S = 130;
+    private static final String FIRST_MACHINE = "m-000000";
+    /** What the rule allows. */
+    private static final long WAIT_MS = 90_000;
+
+    private Case2() {}
+
+    public static void main(String[] args) throws Exception {
+        int code = Harness.COULD_NOT_RUN;
+        try (Harness harness = new Harness(Path.of(args[0]))) {
+            harness.startRegion(MORE_TYPES, Harness.hasTrouble() ? FIRST_MACHINE : "-");
+            harness.startControllers(false);
+            code = play(harness);
+        } catch (Exception e) {
+            e.printStackTrace();
+        }
+        System.exit(code);
+    }
+
+    private static long countRan(Harness harness, String event) throws Exception {
+        return harness.workersRan().stream().filter(line -> line.contains(event)).count();
+    }
+
+    private static int play(Harness harness) throws Exception {
+        ObjectNode large = Harness.job("job-000001", "certcheck", TASKS, CORES, 0.5, TASK_S);
+        ArrayNode types = large.putArray("hosttypes").add("kiln8");
+        for (int i = 0; i < MORE_TYPES; i++) {
+            types.add(RegionMain.typeName(i));
+        }
+        if (!harness.submit(large, 10_000)) {
+            return Harness.COULD_NOT_RUN;
+        }
+        // Until the faulty machine has failed some tasks; without it, until the tasks run.
+        String event = Harness.hasTrouble() ? "why FAILED" : "started job-000001/";
+        while (countRan(harness, event) == 0) {
+            if (harness.sinceStartMs() > 20_000) {
+                harness.log("result: could not run: no task " + event);
+                return Harness.COULD_NOT_RUN;
+            }
+            Harness.sleep(200);
+        }
+        Harness.sleep(1000);
+        ObjectNode small = Harness.job("job-000002", "keysign", 1, CORES, 0.5, 5);
+        if (!harness.submit(small, 26_000)) {
+            return Harness.COULD_NOT_RUN;
+        }
+        long accepted = harness.sinceStartMs();
+        while (harness.sinceStartMs() - accepted < WAIT_MS && countRan(harness, "started job-000002/") == 0) {
+            Harness.sleep(2500);
+            harness.log("user: status of job-000002: " + harness.status(0, "job-000002"));
+        }
+        boolean started = countRan(harness, "started job-000002/") > 0;
+        for (int i = 0; i < 3; i++) {
+            for (String line : harness.logged(i, "refused as malformed").stream().limit(2).toList()) {
+                harness.log("log of node " + i + ": " + line);
+            }
+        }
+        harness.log("result: job-000002 " + (started ? "started" : "not started") + " within "
+                + (harness.sinceStartMs() - accepted) / 1000 + " s of its acceptance");
+        return started ? Harness.HELD : Harness.BROKEN;
+    }
+}
