--- a/review/standins/Harness.java
+++ b/review/standins/Harness.java
@@ -233,6 +233,11 @@
         return Files.readAllLines(folder.resolve("region.txt"));
     }
 
+    /** What a stand-in printed. */
+    List<String> printed(String output) throws IOException {
+        return Files.readAllLines(folder.resolve(output));
+    }
+
     /** The lines of a controller's log that contain the text. */
     List<String> logged(int node, String text) throws IOException {
         return Files.readAllLines(folder.resolve("node-" + node + ".txt")).stream()
