--- a/review/standins/Case2.java
+++ b/review/standins/Case2.java
@@ -57,7 +57,7 @@
         }
         Harness.sleep(1000);
         ObjectNode small = Harness.job("job-000002", "keysign", 1, CORES, 0.5, 5);
-        if (!harness.submit(small, 26_000)) {
+        if (!harness.submit(small, 24_000)) {
             return Harness.COULD_NOT_RUN;
         }
         long accepted = harness.sinceStartMs();
--- a/review/standins/Harness.java
+++ b/review/standins/Harness.java
@@ -189,7 +189,7 @@
             startController(i, proxied);
         }
         for (int i = 0; i < NODES; ) {
-            if (sinceStartMs() > 25_000) {
+            if (sinceStartMs() > 15_000) {
                 throw new IOException("controllers are not ready");
             }
             if (call(i, "GET", "/ready", null, 1000).status == 200) {
