A body with text that is not Unicode is malformed

Cause: the CBOR parser reads such bytes as an unpaired surrogate, JobSpec and Codec.text accept it, and the encoder refuses it when the transaction is sent: IllegalStateException from Codec.encode in Node.executeEffects.

Change: Codec.decodeMap checks the texts of the whole tree (UnicodeText), so everything that arrives as CBOR is covered: submissions and other requests, heartbeats, answers of the cloud and of the state service.

--- a/src/main/java/org/beechhoist/wire/Codec.java
+++ b/src/main/java/org/beechhoist/wire/Codec.java
@@ -47,7 +47,10 @@
         }
     }
 
-    /** The map in {@code body}; everything else is malformed. */
+    /**
+     * The map in {@code body}; everything else is malformed, also a map with text that is not Unicode: the parser reads such
+     * text, but nothing that repeats it can be encoded.
+     */
     public static JsonNode decodeMap(byte[] body) throws MalformedMessageException {
         JsonNode node;
         try {
@@ -58,6 +61,9 @@
         if (node == null || !node.isObject()) {
             throw new MalformedMessageException("body is not a map");
         }
+        if (!UnicodeText.isValid(node)) {
+            throw new MalformedMessageException("body has text that is not Unicode");
+        }
         return node;
     }
 
--- a/src/test/java/org/beechhoist/wire/CodecTest.java
+++ b/src/test/java/org/beechhoist/wire/CodecTest.java
@@ -5,6 +5,8 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.io.ByteArrayOutputStream;
+import java.util.HexFormat;
 import java.util.List;
 import java.util.SplittableRandom;
 import java.util.function.Consumer;
@@ -13,6 +15,8 @@
 import org.beechhoist.peer.PeerCodec;
 import org.beechhoist.peer.PeerState;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 
 class CodecTest {
     private static ObjectNode job() {
@@ -109,6 +113,61 @@
         assertTrue(refused > 2000, "only " + refused + " refused");
     }
 
+    /** Guards against text that is no Unicode entering a node: no answer or transaction that repeats it can be encoded. */
+    @ParameterizedTest
+    @CsvSource({"EDA182", "EDB082", "EDA182EDA182", "F7BFBFBF", "F0808080"})
+    void textThatIsNotUnicodeIsMalformed(String bytes) {
+        byte[] text = HexFormat.of().parseHex(bytes);
+        byte[] quoted = concat(new byte[] {(byte) (0x60 | text.length)}, text);
+        byte[] letter = {0x61, 'a'};
+        byte[] map = {(byte) 0xA1};
+        for (byte[] body : List.of(
+                concat(map, letter, quoted),
+                concat(map, quoted, letter),
+                concat(map, letter, new byte[] {(byte) 0x82}, letter, quoted),
+                concat(map, letter, map, quoted, letter))) {
+            MalformedMessageException e =
+                    assertThrows(MalformedMessageException.class, () -> Codec.decodeMap(body), () -> bytes);
+            assertEquals("body has text that is not Unicode", e.getMessage());
+        }
+    }
+
+    /** Guards against names outside the basic plane being refused with those that are cut in a character. */
+    @Test
+    void textOutsideTheBasicPlaneIsRead() throws MalformedMessageException {
+        ObjectNode job = job().put("jobclass", "keysign-\uD842\uDFB7");
+        assertEquals(
+                "keysign-\uD842\uDFB7",
+                JobSpec.parse(Codec.decodeMap(Codec.encode(job))).jobClass());
+    }
+
+    private static byte[] concat(byte[]... parts) {
+        ByteArrayOutputStream out = new ByteArrayOutputStream();
+        for (byte[] part : parts) {
+            out.writeBytes(part);
+        }
+        return out.toByteArray();
+    }
+
+    /** Guards against a damaged body that is read, but that nothing can repeat: what is read is encoded again. */
+    @Test
+    void whateverIsReadCanBeSentOn() {
+        byte[] good = Codec.encode(job().put("jobclass", "\u9E97\uD842\uDFB7"));
+        int read = 0;
+        for (long seed = 0; seed < 20_000; seed++) {
+            SplittableRandom random = new SplittableRandom(seed);
+            byte[] body = good.clone();
+            body[random.nextInt(body.length)] = (byte) random.nextInt(256);
+            try {
+                Codec.encode(Codec.decodeMap(body));
+                read++;
+            } catch (MalformedMessageException e) {
+                assertTrue(e.getMessage().length() < 60);
+            }
+        }
+        assertTrue(read > 2000, "only " + read + " read");
+    }
+
     @Test
     void peersUnderstandOneAnotherAndRefuseRubbish() throws MalformedMessageException {
         PeerCodec codec = new PeerCodec();
