A failing effect or callback does not end the node

Seen by callers: an exception while one effect was carried out ended the process; the other answers and transactions of that input were lost with it.

Cause: EventLoop.run guarded connection handlers and timers, but not submitted actions, the action at the end of an iteration (the controller's effects), or a connection's failure handler. Node carried out all effects in one go; a second answer to one request was a NullPointerException there.

Change: the loop guards each callback. A request whose handling fails is answered with 500. OpenRequests and ServiceCaller are taken out of Node.

--- a/src/main/java/org/beechhoist/daemon/Node.java
+++ b/src/main/java/org/beechhoist/daemon/Node.java
@@ -1,13 +1,10 @@
 package org.beechhoist.daemon;
 
-import com.fasterxml.jackson.databind.JsonNode;
 import java.io.IOException;
 import java.net.BindException;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
-import java.util.HashMap;
-import java.util.Map;
-import org.beechhoist.config.Addresses;
+import java.util.List;
 import org.beechhoist.config.Policy;
 import org.beechhoist.config.Settings;
 import org.beechhoist.controller.Controller;
@@ -38,18 +35,18 @@
     private static final int MAX_PEER_CONNECTIONS = 64;
     private static final long PEER_TIMEOUT_MS = 900;
     private static final byte[] EMPTY = new byte[0];
+    private static final String INPUT_FAILURE_COUNTER = "input failures";
 
     private final Settings settings;
     private final EventLoop loop = new EventLoop();
-    private final HttpClient client;
     private final HttpClient peerClient;
     /** Created on first use, because loading Avro would delay the first responses after a restart. */
     private PeerCodec peerCodec;
 
     private final Metrics metrics = new Metrics();
     private final Controller controller;
-    private final Map<Long, HttpServer.Responder> openRequests = new HashMap<>();
-    private long nextRequestId = 1;
+    private final OpenRequests openRequests = new OpenRequests(loop, metrics);
+    private final EffectExecutor executor;
     private EventLoop.Timer wakeTimer;
     private long wakeAtMs = Long.MAX_VALUE;
 
@@ -60,7 +57,12 @@
      */
     public Node(Settings settings, Policy policy) throws IOException {
         this.settings = settings;
-        this.client = new HttpClient(loop, CBOR, settings.maxSockets() / 10);
+        ServiceCaller services = new ServiceCaller(
+                loop,
+                new HttpClient(loop, CBOR, settings.maxSockets() / 10),
+                new ServiceCaller.Endpoints(settings.state(), settings.cloud()),
+                this::handleCallResult);
+        this.executor = new EffectExecutor(loop, openRequests, services, this::publishToPeers, metrics);
         this.peerClient =
                 new HttpClient(loop, "avro/binary", 2 * settings.seeds().size());
         this.controller = new Controller(settings, policy, metrics, System.nanoTime());
@@ -117,16 +119,33 @@
     }
 
     private void handleRequest(HttpMessage message, HttpServer.Responder responder) {
-        long id = nextRequestId++;
-        String route = route(message.method(), message.target());
-        long startedMs = loop.now().ms();
-        openRequests.put(id, (status, type, body, retry) -> {
-            metrics.recordLatency(route, loop.now().ms() - startedMs);
-            metrics.increment(route + " " + status);
-            responder.respond(status, type, body, retry);
-        });
-        controller.handleRequest(
-                loop.now(), System.currentTimeMillis(), id, message.method(), message.target(), message.body());
+        long id = openRequests.open(route(message.method(), message.target()), responder);
+        boolean handled = handleInput(() -> controller.handleRequest(
+                loop.now(), System.currentTimeMillis(), id, message.method(), message.target(), message.body()));
+        if (!handled) {
+            openRequests.fail(id);
+        }
+    }
+
+    private void handleCallResult(long call, CallResult result) {
+        handleInput(() -> controller.handleCallResult(loop.now(), System.currentTimeMillis(), call, result));
+    }
+
+    /**
+     * Passes an input to the controller. An exception in it is logged and counted, and does not reach the connection or the
+     * timer that the input came from.
+     *
+     * @return whether the input was handled without an exception
+     */
+    private boolean handleInput(Runnable input) {
+        try {
+            input.run();
+            return true;
+        } catch (RuntimeException | StackOverflowError e) {
+            metrics.increment(INPUT_FAILURE_COUNTER);
+            LOG.error("unexpected exception while an input was handled", e);
+            return false;
+        }
     }
 
     /** Returns the route name used in the metrics, which is the same for all jobs. */
@@ -148,9 +167,10 @@
             return;
         }
         try {
-            controller.handlePeerState(
-                    loop.now(), System.currentTimeMillis(), peerCodec().decode(message.body()));
-            responder.respond(200, TEXT, EMPTY, 0);
+            PeerState state = peerCodec().decode(message.body());
+            boolean handled =
+                    handleInput(() -> controller.handlePeerState(loop.now(), System.currentTimeMillis(), state));
+            responder.respond(handled ? 200 : 500, TEXT, EMPTY, 0);
         } catch (MalformedMessageException e) {
             responder.respond(400, TEXT, e.getMessage().getBytes(StandardCharsets.US_ASCII), 0);
         }
@@ -172,24 +192,9 @@
 
     /** Executes the effects of the controller until it produces no more, then sets its next timer. */
     private void executeEffects() {
-        var effects = controller.drainEffects();
+        List<Effect> effects = controller.drainEffects();
         while (!effects.isEmpty()) {
-            for (Effect effect : effects) {
-                if (effect instanceof Effect.Respond respond) {
-                    Effect.Respond response = respond.asOf(loop.now());
-                    openRequests
-                            .remove(response.request())
-                            .respond(
-                                    response.status(),
-                                    CBOR,
-                                    response.body() == null ? EMPTY : Codec.encode(response.body()),
-                                    response.retryAfterS());
-                } else if (effect instanceof Effect.Call call) {
-                    sendCall(call);
-                } else if (effect instanceof Effect.PublishToPeers publish) {
-                    publishToPeers(publish.state());
-                }
-            }
+            executor.execute(effects);
             effects = controller.drainEffects();
         }
         scheduleWake();
@@ -209,51 +214,8 @@
                     ? null
                     : loop.schedule(nextWakeMs - loop.now().ms(), () -> {
                         wakeTimer = null;
-                        controller.handleTimer(loop.now(), System.currentTimeMillis());
+                        handleInput(() -> controller.handleTimer(loop.now(), System.currentTimeMillis()));
                     });
         }
     }
-
-    private void sendCall(Effect.Call call) {
-        InetSocketAddress address =
-                switch (call.target()) {
-                    case STATE -> settings.state();
-                    case CLOUD -> settings.cloud();
-                    case HOST -> Addresses.parse(call.address());
-                };
-        if (address == null || call.isExpired(loop.now())) {
-            loop.schedule(
-                    0,
-                    () -> controller.handleCallResult(
-                            loop.now(), System.currentTimeMillis(), call.id(), CallResult.NOT_SENT));
-            return;
-        }
-        client.request(
-                address,
-                call.method(),
-                call.path(),
-                call.body() == null ? null : Codec.encode(call.body()),
-                call.timeoutMs(),
-                call.until(),
-                outcome -> controller.handleCallResult(
-                        loop.now(), System.currentTimeMillis(), call.id(), toCallResult(outcome)));
-    }
-
-    private static CallResult toCallResult(HttpClient.Outcome outcome) {
-        if (outcome instanceof HttpClient.NotSent) {
-            return CallResult.NOT_SENT;
-        }
-        if (!(outcome instanceof HttpClient.Response response)) {
-            return CallResult.UNKNOWN;
-        }
-        JsonNode body = null;
-        if (response.body().length > 0) {
-            try {
-                body = Codec.decodeMap(response.body());
-            } catch (MalformedMessageException e) {
-                LOG.debug("response body is not a CBOR map: status={}", response.status());
-            }
-        }
-        return CallResult.answered(response.status(), body);
-    }
 }
--- a/src/main/java/org/beechhoist/net/EventLoop.java
+++ b/src/main/java/org/beechhoist/net/EventLoop.java
@@ -122,11 +122,11 @@
                 it.remove();
                 dispatch(key);
             }
-            for (Runnable r = submitted.poll(); r != null; r = submitted.poll()) {
-                r.run();
+            for (Runnable action = submitted.poll(); action != null; action = submitted.poll()) {
+                runGuarded(action);
             }
             runDueTimers();
-            iterationEndAction.run();
+            runGuarded(iterationEndAction);
         }
         for (SelectionKey key : selector.keys()) {
             key.channel().close();
@@ -141,11 +141,38 @@
                 handler.onReady(key);
             }
         } catch (IOException e) {
-            handler.onFailure(e);
-        } catch (RuntimeException e) {
-            // An exception on one connection must not stop the node; only that connection is closed.
+            reportFailure(handler, key, e);
+        } catch (RuntimeException | StackOverflowError e) {
             LOG.error("unexpected exception in a connection handler", e);
-            handler.onFailure(new IOException(e));
+            reportFailure(handler, key, new IOException(e));
+        }
+    }
+
+    /** Passes a failure to its handler; a handler that fails in turn would be called again at once, so its channel is closed. */
+    private static void reportFailure(ChannelHandler handler, SelectionKey key, IOException cause) {
+        try {
+            handler.onFailure(cause);
+        } catch (RuntimeException | StackOverflowError e) {
+            LOG.error("unexpected exception in a handler of a connection's failure", e);
+            closeChannel(key);
+        }
+    }
+
+    private static void closeChannel(SelectionKey key) {
+        key.cancel();
+        try {
+            key.channel().close();
+        } catch (IOException e) {
+            LOG.debug("closing a channel failed", e);
+        }
+    }
+
+    /** Runs an action; an exception in it is logged, and must not end the loop that all others share. */
+    private static void runGuarded(Runnable action) {
+        try {
+            action.run();
+        } catch (RuntimeException | StackOverflowError e) {
+            LOG.error("unexpected exception in an action of the loop", e);
         }
     }
 
@@ -163,11 +190,7 @@
         while (!timers.isEmpty() && timers.peek().atMs <= now) {
             Runnable action = timers.poll().action;
             if (action != null) {
-                try {
-                    action.run();
-                } catch (RuntimeException e) {
-                    LOG.error("unexpected exception in a timer action", e);
-                }
+                runGuarded(action);
             }
         }
     }
--- a/src/main/java/org/beechhoist/net/HttpServer.java
+++ b/src/main/java/org/beechhoist/net/HttpServer.java
@@ -54,6 +54,7 @@
             Map.entry(421, "Misdirected Request"),
             Map.entry(422, "Unprocessable Content"),
             Map.entry(429, "Too Many Requests"),
+            Map.entry(500, "Internal Server Error"),
             Map.entry(503, "Service Unavailable"));
 
     private final EventLoop loop;
