A failed timer or component does not end a node's periodic work

Seen: after one unexpected exception a leader kept its lease, answered requests and did nothing more: no plan, rental, return or enforcement.

Cause: Controller.runPeriodic scheduled its next run at its end. A failing timer also kept the timers behind it, the request that came with it and the commit of that input from being handled.

Change: timers, callbacks of calls and the leader's periodic components run guarded, each by itself. The simulation fails on each such exception.

--- a/src/main/java/org/beechhoist/controller/Controller.java
+++ b/src/main/java/org/beechhoist/controller/Controller.java
@@ -74,6 +74,13 @@
         return context.drainEffects();
     }
 
+    /**
+     * Returns the unexpected exceptions since the last call. The steps that they ended were given up; the others were run.
+     */
+    public List<Throwable> drainFailures() {
+        return context.drainFailures();
+    }
+
     /** Handles the result of a call that an {@link Effect} requested. */
     public void handleCallResult(MonotonicTime now, long wallMs, long call, CallResult result) {
         beginInput(now, wallMs);
@@ -88,12 +95,18 @@
         peerExchange.receive(state);
     }
 
-    /** Handles a request on the public address. Each is answered with one {@link Effect.Respond}, possibly later. */
+    /**
+     * Handles a request on the public address. Each is answered with one {@link Effect.Respond}, possibly later; if this throws
+     * an exception, the caller answers.
+     */
     public void handleRequest(MonotonicTime now, long wallMs, long id, String method, String target, byte[] body) {
         beginInput(now, wallMs);
         context.runDueTimers();
-        components.router.route(ApiRequest.of(id, method, target, body));
-        settleInput();
+        try {
+            components.router.route(ApiRequest.of(id, method, target, body));
+        } finally {
+            settleInput();
+        }
     }
 
     /**
@@ -110,17 +123,21 @@
 
     private void settleInput() {
         leader.completeInput();
-        peerExchange.acknowledgeCancellations();
+        context.runGuarded(peerExchange::acknowledgeCancellations);
     }
 
     private void runPeriodic() {
         leader.runPeriodic();
         if (!context.now().isBefore(nextPublishAt)) {
             nextPublishAt = context.now().plusMs(PUBLISH_INTERVAL_MS);
-            limits.updateDemand(leader.pendingWrites());
-            limits.divide(election.holdsLease());
-            peerExchange.publishPeriodically();
+            context.runGuarded(this::publishState);
         }
         context.schedule(RUN_INTERVAL_MS, this::runPeriodic);
     }
+
+    private void publishState() {
+        limits.updateDemand(leader.pendingWrites());
+        limits.divide(election.holdsLease());
+        peerExchange.publishPeriodically();
+    }
 }
--- a/src/main/java/org/beechhoist/controller/ControllerComponents.java
+++ b/src/main/java/org/beechhoist/controller/ControllerComponents.java
@@ -71,6 +71,7 @@
         UserApi users = createUserApi(access, policy, idempotencyKeys, readiness, acknowledgements);
         Optional<FeatureApi> cron = createCronApi(access, policy, users);
         election = createElection(access);
+        context.onFailure(new FailureRecovery(context, election)::handleFailure);
         ControllerServices services = new ControllerServices(context, settings, store, requests, writes, election);
         NodeComponents node = new NodeComponents(machineTypes, users, idempotencyKeys, peers, cancellations);
         leader = new Leader(services, policy, new SplittableRandom(seed), node, features);
--- a/src/main/java/org/beechhoist/controller/Leader.java
+++ b/src/main/java/org/beechhoist/controller/Leader.java
@@ -1,6 +1,7 @@
 package org.beechhoist.controller;
 
 import java.util.ArrayList;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.SplittableRandom;
@@ -33,6 +34,7 @@
     private final LeaderFeatures features;
     private final LeaderReachabilityCheck reachabilityCheck;
     private final StalledJobReporter stalledJobs;
+    private final List<Runnable> periodicSteps;
 
     /**
      * Constructs the leader's components.
@@ -54,6 +56,7 @@
         this.features = components.features;
         this.reachabilityCheck = components.reachabilityCheck;
         this.stalledJobs = components.stalledJobs;
+        this.periodicSteps = createPeriodicSteps();
     }
 
     // ---- Term ----
@@ -184,23 +187,32 @@
 
     // ---- Periodic work ----
 
-    /** Runs the periodic components; called every half second. */
+    /** Runs the periodic components; called every half second. One that fails does not keep the others from running. */
     void runPeriodic() {
         if (!election.holdsLease()) {
             return;
         }
-        workers.cancellationEnforcer.enforceAll();
+        context.runGuarded(workers.cancellationEnforcer::enforceAll);
         if (!isActive()) {
-            workers.provisioner.sendReleasesWithTasks();
+            context.runGuarded(workers.provisioner::sendReleasesWithTasks);
             return;
         }
-        if (reachabilityCheck.stepDownIfUnreachable()) {
-            return;
+        context.runGuarded(reachabilityCheck::stepDownIfUnreachable);
+        for (Runnable step : periodicSteps) {
+            if (!isActive()) {
+                return; // a step, or its failure, has ended the term
+            }
+            context.runGuarded(step);
         }
-        workers.coldStart.advance();
-        superviseMachines();
-        runTaskComponents();
-        runLongTermComponents();
+    }
+
+    private List<Runnable> createPeriodicSteps() {
+        List<Runnable> steps = new ArrayList<>();
+        steps.add(workers.coldStart::advance);
+        steps.add(this::superviseMachines);
+        addTaskSteps(steps);
+        addLongTermSteps(steps);
+        return List.copyOf(steps);
     }
 
     /** Removes the tasks of machines whose leases have expired, and sends pending commands. */
@@ -215,33 +227,36 @@
         }
     }
 
-    private void runTaskComponents() {
-        workers.keySetHolds.checkAllJobs();
-        scheduling.preemptionNotices.evictUnfinishableTasks();
-        workers.elasticWidths.reconcileAllWidths();
-        features.loadShedding.ifPresent(LoadShedding::updateShedJobs);
-        workers.clusterState.requestReplan();
-        workers.provisioner.updateMachines(scheduling.planner.currentPlan());
-        stalledJobs.report();
+    private void addTaskSteps(List<Runnable> steps) {
+        steps.add(workers.keySetHolds::checkAllJobs);
+        steps.add(scheduling.preemptionNotices::evictUnfinishableTasks);
+        steps.add(workers.elasticWidths::reconcileAllWidths);
+        features.loadShedding.ifPresent(shedding -> steps.add(shedding::updateShedJobs));
+        steps.add(workers.clusterState::requestReplan);
+        steps.add(() -> workers.provisioner.updateMachines(scheduling.planner.currentPlan()));
+        steps.add(stalledJobs::report);
     }
 
-    private void runLongTermComponents() {
-        scheduling.releaseController.updateForecasts(scheduling.planner);
-        scheduling.migrationController.updateMigrations(scheduling.planner.currentPlan());
-        features.drainController.updateDrains(scheduling.planner);
-        features.fleetSnapshots.ifPresent(FleetSnapshots::writeNextPart);
-        features.serviceShare.ifPresent(MinimumServiceShare::updatePrioritizedJobs);
-        features.cronController.ifPresent(CronController::fireDueSchedules);
+    private void addLongTermSteps(List<Runnable> steps) {
+        steps.add(() -> scheduling.releaseController.updateForecasts(scheduling.planner));
+        steps.add(() -> scheduling.migrationController.updateMigrations(scheduling.planner.currentPlan()));
+        steps.add(() -> features.drainController.updateDrains(scheduling.planner));
+        features.fleetSnapshots.ifPresent(snapshots -> steps.add(snapshots::writeNextPart));
+        features.serviceShare.ifPresent(share -> steps.add(share::updatePrioritizedJobs));
+        features.cronController.ifPresent(cron -> steps.add(cron::fireDueSchedules));
     }
 
-    /** Creates a plan if one is due, commits the changes of the input, and continues the plan search. */
+    /**
+     * Creates a plan if one is due, commits the changes of the input, and continues the plan search. A plan that fails does not
+     * keep the changes from being committed.
+     */
     void completeInput() {
         if (mayPlan() && scheduling.planner.isPlanDue()) {
-            plan();
+            context.runGuarded(this::plan);
         }
-        workers.committer.commitPending();
+        context.runGuarded(workers.committer::commitPending);
         if (mayPlan()) {
-            scheduling.planner.runSearchStep();
+            context.runGuarded(scheduling.planner::runSearchStep);
         }
     }
 
--- a/src/main/java/org/beechhoist/controller/context/ControllerContext.java
+++ b/src/main/java/org/beechhoist/controller/context/ControllerContext.java
@@ -29,6 +29,9 @@
     private long wallMs;
     private long nextId = 1;
     private List<Effect> effects = new ArrayList<>();
+    private List<Throwable> failures = new ArrayList<>();
+    private Runnable failureHandler = () -> {};
+    private boolean handlingFailure;
     private final Map<Long, Consumer<CallResult>> pendingCalls = new HashMap<>();
     private final PriorityQueue<Timer> timers =
             new PriorityQueue<>((a, b) -> a.at.equals(b.at) ? Long.compare(a.order, b.order) : a.at.compareTo(b.at));
@@ -106,7 +109,7 @@
     public void completeCall(long id, CallResult result) {
         Consumer<CallResult> then = pendingCalls.remove(id);
         if (then != null) {
-            then.accept(result);
+            runGuarded(() -> then.accept(result));
         }
     }
 
@@ -131,7 +134,7 @@
                 lagMs = Math.max(LAG_DECAY * lagMs, now.since(timer.at));
                 first = false;
             }
-            timer.action.run();
+            runGuarded(timer.action);
         }
     }
 
@@ -148,6 +151,42 @@
         return Math.round(lagMs);
     }
 
+    /**
+     * Runs one of several steps that do not depend on one another: an exception in it is recorded, and the caller goes on with
+     * the others. Each timer and each callback of a call runs so.
+     */
+    public void runGuarded(Runnable step) {
+        try {
+            step.run();
+        } catch (RuntimeException | StackOverflowError e) {
+            failures.add(e);
+            handleFailure();
+        }
+    }
+
+    private void handleFailure() {
+        if (handlingFailure) {
+            return; // the handler itself has failed
+        }
+        handlingFailure = true;
+        runGuarded(failureHandler);
+        handlingFailure = false;
+    }
+
+    /** Sets what is done at once when a step has failed. */
+    public void onFailure(Runnable handler) {
+        failureHandler = handler;
+    }
+
+    /** Returns the exceptions of failed steps since the last call, and removes them. There are none as long as the program is correct. */
+    public List<Throwable> drainFailures() {
+        List<Throwable> out = failures;
+        if (!out.isEmpty()) {
+            failures = new ArrayList<>();
+        }
+        return out;
+    }
+
     /** Returns the effects since the last call, in the order in which they were caused, and removes them. */
     public List<Effect> drainEffects() {
         List<Effect> out = effects;
--- a/src/main/java/org/beechhoist/controller/leadership/LeaderElection.java
+++ b/src/main/java/org/beechhoist/controller/leadership/LeaderElection.java
@@ -111,7 +111,7 @@
     }
 
     /** Returns whether the leadership is not known to be lost; the lease may have expired nevertheless. */
-    boolean isLeading() {
+    public boolean isLeading() {
         return isLeading;
     }
 
--- a/src/main/java/org/beechhoist/daemon/Node.java
+++ b/src/main/java/org/beechhoist/daemon/Node.java
@@ -108,7 +108,7 @@
                 "node started: node={} zone={} address={}", settings.node(), settings.zone(), settings.publicAddress());
         settings.warnings().forEach(LOG::warn);
         loop.onIterationEnd(this::executeEffects);
-        controller.start(loop.now(), System.currentTimeMillis());
+        handleInput(() -> controller.start(loop.now(), System.currentTimeMillis()));
         executeEffects();
         loop.run();
     }
@@ -142,12 +142,18 @@
             input.run();
             return true;
         } catch (RuntimeException | StackOverflowError e) {
-            metrics.increment(INPUT_FAILURE_COUNTER);
-            LOG.error("unexpected exception while an input was handled", e);
+            recordFailure(e);
             return false;
+        } finally {
+            controller.drainFailures().forEach(this::recordFailure);
         }
     }
 
+    private void recordFailure(Throwable failure) {
+        metrics.increment(INPUT_FAILURE_COUNTER);
+        LOG.error("unexpected exception while an input was handled", failure);
+    }
+
     /** Returns the route name used in the metrics, which is the same for all jobs. */
     private static String route(String method, String target) {
         if (target.startsWith("/v1/jobs/")) {
--- a/src/test/java/org/beechhoist/sim/SimulatedController.java
+++ b/src/test/java/org/beechhoist/sim/SimulatedController.java
@@ -52,6 +52,8 @@
 
     Predicate<Effect> crashAt;
     long backMs;
+    /** What happens to the messages that reach it. */
+    Damage damage = Damage.NONE;
 
     SimulatedController(World world, int index) {
         this.world = world;
@@ -131,6 +133,9 @@
     }
 
     void carryOut() {
+        for (Throwable failure : core.drainFailures()) {
+            throw new AssertionError("an unexpected exception in the controller", failure);
+        }
         carryOut(new ArrayDeque<>(core.drainEffects()));
     }
 
@@ -215,7 +220,7 @@
 
     void outcome(long call, CallResult o) {
         long from = System.nanoTime();
-        core.handleCallResult(clock(), wall(), call, o);
+        core.handleCallResult(clock(), wall(), call, damage.ofResult(o));
         world.counted.coreNanos += System.nanoTime() - from;
         carryOut();
     }
@@ -225,7 +230,7 @@
             long id = nextRequest++;
             open.put(id, then);
             long from = System.nanoTime();
-            core.handleRequest(clock(), wall(), id, method, path, body);
+            core.handleRequest(clock(), wall(), id, method, path, damage.ofBody(path, body));
             world.counted.coreNanos += System.nanoTime() - from;
             world.counted.checkinNanos += path.equals("/checkin") ? System.nanoTime() - from : 0;
             if (core != null) {
