An item of the state service without its value is malformed

Seen: an answer that lacks "data" read as if the key were gone. A node's reading of the leader's key ended with a NullPointerException and it never campaigned again; a job's record read so is answered 404.

Cause: StoreClient checked key, version and lease of an item, not its value, and null means "removed" to its callers.

Change: such an answer is malformed: nothing is known, and it is asked again.

--- a/src/main/java/org/beechhoist/store/StoreClient.java
+++ b/src/main/java/org/beechhoist/store/StoreClient.java
@@ -89,11 +89,19 @@
     private static KeyValue item(JsonNode node) throws MalformedMessageException {
         return new KeyValue(
                 Codec.text(node, KEY),
-                node.get(VALUE),
+                value(node),
                 new Revision(Codec.wholeNumber(node, VERSION, 0, Long.MAX_VALUE)),
                 Codec.isAbsent(node, LEASE) ? 0 : Codec.wholeNumber(node, LEASE, 0, Long.MAX_VALUE));
     }
 
+    /** The value of a key that exists: without this check, an answer that lacks it read as if the key were gone. */
+    private static JsonNode value(JsonNode node) throws MalformedMessageException {
+        if (Codec.isAbsent(node, VALUE)) {
+            throw new MalformedMessageException(VALUE + ": value expected");
+        }
+        return node.get(VALUE);
+    }
+
     private static Revision revision(JsonNode node) throws MalformedMessageException {
         return new Revision(Codec.wholeNumber(node, REVISION, 0, Long.MAX_VALUE));
     }
@@ -224,7 +232,7 @@
                         boolean put = node.hasNonNull("put");
                         log.add(new KeyValue(
                                 Codec.text(node, put ? "put" : "remove"),
-                                put ? node.get(VALUE) : null,
+                                put ? value(node) : null,
                                 new Revision(Codec.wholeNumber(node, VERSION, 0, Long.MAX_VALUE)),
                                 0));
                     }
