Lengths and values in peers' messages are checked

Seen: a message of some 50 bytes on the internal address that announces a long list or name ends a node: OutOfMemoryError. A demand that is no number and a job id with line ends were accepted.

Cause: Avro allocates what is announced before it reads it, unless it is given a limit; values were taken as they came.

Change: Avro's limits are set to that of the whole message, 64 KiB; job ids, counts and demands are checked, and such a message is malformed.

--- a/src/main/java/org/beechhoist/peer/PeerCodec.java
+++ b/src/main/java/org/beechhoist/peer/PeerCodec.java
@@ -10,6 +10,7 @@
 import java.util.List;
 import org.apache.avro.Schema;
 import org.apache.avro.SchemaNormalization;
+import org.apache.avro.SystemLimitException;
 import org.apache.avro.generic.GenericData;
 import org.apache.avro.generic.GenericDatumReader;
 import org.apache.avro.generic.GenericDatumWriter;
@@ -36,6 +37,13 @@
     /** The largest message accepted; a leader's message covers some hundred jobs. */
     public static final int MAX_BYTES = 64 * 1024;
 
+    static {
+        // Avro allocates what a message announces before it reads it: without these limits a few bytes use up the heap.
+        System.setProperty(SystemLimitException.MAX_COLLECTION_LENGTH_PROPERTY, Integer.toString(MAX_BYTES));
+        System.setProperty(SystemLimitException.MAX_STRING_LENGTH_PROPERTY, Integer.toString(MAX_BYTES));
+        System.setProperty(SystemLimitException.MAX_BYTES_LENGTH_PROPERTY, Integer.toString(MAX_BYTES));
+    }
+
     private final Schema schema;
     private final byte[] fingerprint = new byte[FINGERPRINT_BYTES];
 
@@ -103,7 +111,8 @@
     /**
      * Decodes a message.
      *
-     * @throws MalformedMessageException if the message has another schema, is too large or is not a valid record
+     * @throws MalformedMessageException if the message has another schema, is too large or is not a valid record, or if a
+     *     field has a value that no controller sends
      */
     public PeerState decode(byte[] bytes) throws MalformedMessageException {
         if (bytes.length < FINGERPRINT_BYTES
@@ -120,20 +129,20 @@
         }
     }
 
-    private static PeerState peerState(GenericRecord record) {
+    private static PeerState peerState(GenericRecord record) throws MalformedMessageException {
         List<JobCount> counts = new ArrayList<>();
         for (Object element : (List<?>) record.get("counts")) {
             GenericRecord count = (GenericRecord) element;
-            counts.add(new JobCount(jobId(count), (Integer) count.get("done"), (Integer) count.get("running")));
+            counts.add(new JobCount(jobId(count.get("job")), count(count, "done"), count(count, "running")));
         }
         List<CancelledJob> cancelled = new ArrayList<>();
         for (Object element : (List<?>) record.get("cancelled")) {
             GenericRecord job = (GenericRecord) element;
-            cancelled.add(new CancelledJob(jobId(job), (Long) job.get("wallMs")));
+            cancelled.add(new CancelledJob(jobId(job.get("job")), (Long) job.get("wallMs")));
         }
         List<JobId> acknowledged = new ArrayList<>();
         for (Object element : (List<?>) record.get("acknowledged")) {
-            acknowledged.add(new JobId(element.toString()));
+            acknowledged.add(jobId(element));
         }
         return new PeerState(
                 record.get("node").toString(),
@@ -141,15 +150,36 @@
                 new FencingToken((Long) record.get("baton")),
                 (Long) record.get("storeAnswersMs"),
                 (Boolean) record.get("ready"),
-                (Integer) record.get("reportsHeard"),
-                (Double) record.get("writesWanted"),
-                (Double) record.get("requestsWanted"),
+                count(record, "reportsHeard"),
+                demand(record, "writesWanted"),
+                demand(record, "requestsWanted"),
                 counts,
                 cancelled,
                 acknowledged);
     }
 
-    private static JobId jobId(GenericRecord record) {
-        return new JobId(record.get("job").toString());
+    private static JobId jobId(Object value) throws MalformedMessageException {
+        String text = value.toString();
+        if (!JobId.isValid(text)) {
+            throw new MalformedMessageException("job: not a job id");
+        }
+        return new JobId(text);
+    }
+
+    private static int count(GenericRecord record, String field) throws MalformedMessageException {
+        int value = (Integer) record.get(field);
+        if (value < 0) {
+            throw new MalformedMessageException(field + ": negative");
+        }
+        return value;
+    }
+
+    /** Reads a rate per second; one that is no number would make the limits of all nodes no numbers too. */
+    private static double demand(GenericRecord record, String field) throws MalformedMessageException {
+        double value = (Double) record.get(field);
+        if (!Double.isFinite(value) || value < 0) {
+            throw new MalformedMessageException(field + ": out of range");
+        }
+        return value;
     }
 }
--- a/src/test/java/org/beechhoist/wire/CodecTest.java
+++ b/src/test/java/org/beechhoist/wire/CodecTest.java
@@ -6,6 +6,7 @@
 
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.io.ByteArrayOutputStream;
+import java.util.Arrays;
 import java.util.HexFormat;
 import java.util.List;
 import java.util.SplittableRandom;
@@ -17,6 +18,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 class CodecTest {
     private static ObjectNode job() {
@@ -198,4 +200,64 @@
             }
         }
     }
+
+    private static PeerState peerState(double writeDemand, int heartbeats, JobId job) {
+        return new PeerState(
+                "n",
+                true,
+                new FencingToken(1),
+                1,
+                true,
+                heartbeats,
+                writeDemand,
+                1,
+                List.of(new JobCount(job, 1, 2)),
+                List.of(),
+                List.of());
+    }
+
+    /** Guards against limits of requests that become no numbers, and keys with spaces, because a peer's message has such values. */
+    @Test
+    void valuesThatNoPeerSendsAreMalformed() throws MalformedMessageException {
+        PeerCodec codec = new PeerCodec();
+        JobId job = new JobId("job-1");
+        assertEquals(peerState(0, 0, job), codec.decode(codec.encode(peerState(0, 0, job))));
+        for (PeerState state : List.of(
+                peerState(Double.NaN, 1, job),
+                peerState(Double.POSITIVE_INFINITY, 1, job),
+                peerState(-1, 1, job),
+                peerState(1, -1, job),
+                peerState(1, 1, new JobId("job-1 HTTP/1.1\r\n")))) {
+            assertThrows(
+                    MalformedMessageException.class, () -> codec.decode(codec.encode(state)), () -> state.toString());
+        }
+    }
+
+    /** Guards against a message of a few bytes that uses up a node's heap because it announces a long list or text. */
+    @ParameterizedTest
+    @ValueSource(longs = {100_000, 50_000_000, 2_147_483_639})
+    void announcedLengthsAreBounded(long announced) {
+        PeerCodec codec = new PeerCodec();
+        byte[] good = codec.encode(
+                new PeerState("n", true, new FencingToken(1), 1, true, 1, 1, 1, List.of(), List.of(), List.of()));
+        byte[] beforeLists = Arrays.copyOf(good, good.length - 3);
+        byte[] afterName = Arrays.copyOfRange(good, 9, good.length);
+        MalformedMessageException list = assertThrows(
+                MalformedMessageException.class, () -> codec.decode(concat(beforeLists, avroLength(announced))));
+        MalformedMessageException name = assertThrows(
+                MalformedMessageException.class,
+                () -> codec.decode(concat(Arrays.copyOf(good, 8), avroLength(announced), afterName)));
+        assertEquals(list.getMessage(), name.getMessage());
+    }
+
+    private static byte[] avroLength(long length) {
+        ByteArrayOutputStream out = new ByteArrayOutputStream();
+        long rest = length << 1;
+        while (rest > 0x7F) {
+            out.write((int) (rest & 0x7F | 0x80));
+            rest >>>= 7;
+        }
+        out.write((int) rest);
+        return out.toByteArray();
+    }
 }
