Settings and commands' files with half of a character are refused

Seen: TOML accepts "\uD842". In host_name it would end each node that writes it into the leader's key; in a job file the command ended with a stack trace.

Cause: as for request bodies: the parser reads text that no encoder accepts.

Change: settings name the field; commands' files are refused in one line.

Evidence: PolicyScriptTest.aBadSettingIsNamed [2] and TryTest.textThatIsNotUnicodeIsSaidInOneLine failed before (nothing thrown; exit code 1 for 2), and pass now.

--- a/src/main/java/org/beechhoist/cli/JobFile.java
+++ b/src/main/java/org/beechhoist/cli/JobFile.java
@@ -1,7 +1,6 @@
 package org.beechhoist.cli;
 
 import com.fasterxml.jackson.databind.JsonNode;
-import com.fasterxml.jackson.dataformat.toml.TomlMapper;
 import java.io.IOException;
 import java.nio.file.Path;
 import org.beechhoist.wire.JobSpec;
@@ -20,7 +19,7 @@
 
     static JobSpec read(Path file) throws Bad {
         try {
-            return spec(new TomlMapper().readTree(file.toFile()));
+            return spec(TomlFile.read(file));
         } catch (IOException e) {
             throw new Bad(file + ": a readable TOML file is expected");
         } catch (MalformedMessageException e) {
--- a/src/main/java/org/beechhoist/cli/ReleaseCommands.java
+++ b/src/main/java/org/beechhoist/cli/ReleaseCommands.java
@@ -2,7 +2,6 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
-import com.fasterxml.jackson.dataformat.toml.TomlMapper;
 import java.io.IOException;
 import java.nio.file.Path;
 import java.util.Map;
@@ -72,7 +71,7 @@
         @Override
         public Integer call() {
             try {
-                JsonNode given = new TomlMapper().readTree(shared.toFile());
+                JsonNode given = TomlFile.read(shared);
                 Map<String, String> dates = ShipDates.read(file, Codec.text(given, "zone"));
                 for (Map.Entry<String, String> entry : dates.entrySet()) {
                     ObjectNode body = change.to(((ObjectNode) given).deepCopy())
--- a/src/main/java/org/beechhoist/cli/TomlFile.java
+++ b/src/main/java/org/beechhoist/cli/TomlFile.java
@@ -5,6 +5,7 @@
 import java.io.IOException;
 import java.nio.file.Path;
 import org.beechhoist.wire.MalformedMessageException;
+import org.beechhoist.wire.UnicodeText;
 
 /** A command's file: what is wrong with it is one line, and exit code 2. */
 final class TomlFile {
@@ -19,7 +20,7 @@
 
     static int use(Path file, Content content) {
         try {
-            return content.use((ObjectNode) new TomlMapper().readTree(file.toFile()));
+            return content.use(read(file));
         } catch (MalformedMessageException e) {
             System.err.println("beechhoist: " + file + ": " + e.getMessage());
         } catch (IOException e) {
@@ -27,4 +28,13 @@
         }
         return USAGE;
     }
+
+    /** Reads a TOML file; text that no request can carry is malformed. */
+    static ObjectNode read(Path file) throws IOException, MalformedMessageException {
+        ObjectNode root = (ObjectNode) new TomlMapper().readTree(file.toFile());
+        if (!UnicodeText.isValid(root)) {
+            throw new MalformedMessageException("text in Unicode, without halves of characters, is expected");
+        }
+        return root;
+    }
 }
--- a/src/main/java/org/beechhoist/config/Settings.java
+++ b/src/main/java/org/beechhoist/config/Settings.java
@@ -13,6 +13,7 @@
 import java.util.Map;
 import org.beechhoist.cancel.CancellationFreshness;
 import org.beechhoist.store.RecordSizes;
+import org.beechhoist.wire.UnicodeText;
 
 /** The platform's settings file, checked. */
 public record Settings(
@@ -167,8 +168,12 @@
                     objective.number("times", 0, 1e6, 1.0)));
         }
         List<String> zones = new ArrayList<>();
-        for (JsonNode z : section.array("zones")) {
-            zones.add(z.asText());
+        JsonNode zoneNames = section.array("zones");
+        if (!UnicodeText.isValid(zoneNames)) {
+            throw new Bad("deployment.zones", zoneNames, "text in Unicode, without halves of characters, is expected");
+        }
+        for (JsonNode zoneName : zoneNames) {
+            zones.add(zoneName.asText());
         }
         Section workerSection = section.section("workers");
         Section stateSection = section.section("state");
@@ -257,6 +262,9 @@
             if (value == null || !value.isTextual() || value.textValue().isEmpty()) {
                 throw new Bad(name(field), value, "a non-empty text is expected");
             }
+            if (!UnicodeText.isValid(value)) {
+                throw new Bad(name(field), value, "text in Unicode, without halves of characters, is expected");
+            }
             return value.textValue();
         }
 
--- a/src/main/java/org/beechhoist/cron/CalendarFile.java
+++ b/src/main/java/org/beechhoist/cron/CalendarFile.java
@@ -4,6 +4,7 @@
 import biweekly.ICalendar;
 import biweekly.component.VEvent;
 import biweekly.util.com.google.ical.compat.javautil.DateIterator;
+import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import com.fasterxml.jackson.dataformat.toml.TomlMapper;
 import java.io.IOException;
@@ -18,6 +19,7 @@
 import java.util.TreeMap;
 import org.beechhoist.wire.Codec;
 import org.beechhoist.wire.MalformedMessageException;
+import org.beechhoist.wire.UnicodeText;
 
 /**
  * Reads a calendar from a file: TOML, or iCalendar (RFC 5545), whose all-day events are read as holidays. Recurring events are expanded
@@ -47,7 +49,12 @@
         String text = Files.readString(file);
         if (!file.getFileName().toString().endsWith(".ics")) {
             try {
-                return Calendar.parse(new TomlMapper().readTree(text), name);
+                JsonNode root = new TomlMapper().readTree(text);
+                if (!UnicodeText.isValid(root)) {
+                    throw new MalformedMessageException(
+                            file + ": text in Unicode, without halves of characters, is expected");
+                }
+                return Calendar.parse(root, name);
             } catch (com.fasterxml.jackson.core.JsonProcessingException e) {
                 throw new MalformedMessageException(file + ": TOML is expected: " + e.getOriginalMessage());
             }
--- a/src/test/java/org/beechhoist/cli/TryTest.java
+++ b/src/test/java/org/beechhoist/cli/TryTest.java
@@ -64,4 +64,16 @@
         assertEquals(1, ran.err.lines().count(), ran.err);
         assertTrue(ran.err.contains("cores"), ran.err);
     }
+
+    /** Guards against a stack trace for a job file with half of a character, which no request can carry. */
+    @Test
+    void textThatIsNotUnicodeIsSaidInOneLine(@TempDir Path dir) throws Exception {
+        Path file = Files.writeString(
+                dir.resolve("job.toml"),
+                "ref = \"job-7\"\nowner = \"ours\"\ncores = 2\nmemGb = 1\nbundle = \"i\\uD842\"\n");
+        Ran ran = run(file.toString());
+        assertEquals(2, ran.code);
+        assertEquals(1, ran.err.lines().count(), ran.err);
+        assertTrue(ran.err.contains("Unicode"), ran.err);
+    }
 }
--- a/src/test/java/org/beechhoist/config/PolicyScriptTest.java
+++ b/src/test/java/org/beechhoist/config/PolicyScriptTest.java
@@ -43,6 +43,8 @@
             delimiter = '|',
             value = {
                 "host_name = \"x\"|host_name = \"\"|host_name",
+                // half of a character, which neither a record nor a message can carry
+                "host_name = \"x\"|host_name = \"x\\uD842\"|host_name",
                 "10.0.0.1:8080|10.0.0.1|public_addr",
                 "10.0.0.1:8080|nowhere:80|public_addr",
                 "lease_s = 32.0|lease_s = -1|deployment.workers.lease_s",
