A script that fails while its table is read is refused in one line

Seen: a script whose table computes its fields and fails, or never ends, in doing so ended serve and check with a stack trace.

Cause: errors and the bound on steps were handled while the script ran, not while its table was read.

Evidence: aBadScriptIsRefusedWithItsLineOrSetting [12] and [13] failed before with LuaError and TooLong, and pass now.

--- a/src/main/java/org/beechhoist/config/PolicyScript.java
+++ b/src/main/java/org/beechhoist/config/PolicyScript.java
@@ -105,9 +105,13 @@
         globals.get("string").set("rep", LuaValue.NIL); // could make texts larger than the heap in one step
         LoadState.install(globals);
         LuaC.install(globals);
-        LuaValue result;
         try {
-            result = globals.load(new StringReader(text), "@" + name).call();
+            // Reading may run the script's code too, as a table may compute its fields.
+            LuaValue result = globals.load(new StringReader(text), "@" + name).call();
+            if (!result.istable()) {
+                throw new Bad("script " + name + ": it must return a table of settings");
+            }
+            return read((LuaTable) result, name, text);
         } catch (LuaError e) {
             throw new Bad("script " + name + ": " + e.getMessage());
         } catch (TooLong e) {
@@ -115,10 +119,6 @@
         } catch (StackOverflowError | OutOfMemoryError e) {
             throw new Bad("script " + name + ": it nests too deeply or takes too much memory");
         }
-        if (!result.istable()) {
-            throw new Bad("script " + name + ": it must return a table of settings");
-        }
-        return read((LuaTable) result, name, text);
     }
 
     private static Policy read(LuaTable luaTable, String name, String text) throws Bad {
--- a/src/test/java/org/beechhoist/config/PolicyScriptTest.java
+++ b/src/test/java/org/beechhoist/config/PolicyScriptTest.java
@@ -31,7 +31,10 @@
                 "return require('x')|p.lua",
                 "return load('return {}')()|p.lua",
                 "pcall(function() while true do end end) return {}|p.lua",
-                "local function f() return 1 + f() end f()|p.lua"
+                "local function f() return 1 + f() end f()|p.lua",
+                // fields that the script computes while its table is read
+                "return setmetatable({}, {__index = function() error('no such field') end})|p.lua",
+                "return setmetatable({}, {__index = function() while true do end end})|steps"
             })
     void aBadScriptIsRefusedWithItsLineOrSetting(String text, String part) {
         PolicyScript.Bad e = assertThrows(PolicyScript.Bad.class, () -> PolicyScript.run(text, "p.lua"));
