A removal that names no cron table gets 400

Seen: POST /v1/cron/remove closed the connection without an answer.

Cause: the name was cut out of a path shorter than prefix and ending together.

Evidence: CronSimulationTest.removalWithoutATableIsRefused failed before with StringIndexOutOfBoundsException, and passes now.

--- a/src/main/java/org/beechhoist/controller/CronRequests.java
+++ b/src/main/java/org/beechhoist/controller/CronRequests.java
@@ -56,17 +56,13 @@
         String name = request.path().substring(TABLES.length() + 1);
         if (!isPost(request)) {
             api.showTable(name, afterLine(request.query()), responder);
-        } else if (request.path().endsWith(REMOVE)) {
-            api.removeTable(tableToRemove(request.path()), responder);
+        } else if (name.endsWith(REMOVE)) {
+            api.removeTable(name.substring(0, name.length() - REMOVE.length()), responder);
         } else {
             api.installTable(name, Codec.decodeMap(request.body()), responder);
         }
     }
 
-    private static String tableToRemove(String path) {
-        return path.substring(TABLES.length() + 1, path.length() - REMOVE.length());
-    }
-
     private static int afterLine(String query) {
         return query.matches(AFTER_PATTERN) ? Integer.parseInt(query.substring(AFTER.length())) : 0;
     }
--- a/src/test/java/org/beechhoist/sim/CronSimulationTest.java
+++ b/src/test/java/org/beechhoist/sim/CronSimulationTest.java
@@ -34,6 +34,16 @@
         return new World(seed, WorldScale.SMALL.with(ON), START, 1);
     }
 
+    /** Guards against an exception, and no answer, for a removal that names no table. */
+    @Test
+    void removalWithoutATableIsRefused() {
+        World world = world(91);
+        List<Integer> status = new ArrayList<>();
+        world.request("POST", "/v1/cron/remove", Codec.map(), answer -> status.add(answer.status()));
+        world.runUntil(world.now + 3000);
+        assertEquals(List.of(400), status);
+    }
+
     static void install(World w, String table, String text) {
         List<Integer> status = new ArrayList<>();
         w.request("POST", "/v1/cron/" + table, Codec.map().put("text", text), a -> status.add(a.status()));
