A request target with other than visible ASCII gets 400

Seen: a bare line feed within a path was accepted; with cron tables, key sets, releases or drains on, the name goes into the path of a request to the state service.

Evidence: HttpParserTest.targetWithOtherThanVisibleAsciiGets400 failed in 9 of 9 cases before (nothing was refused), and passes now.

--- a/src/main/java/org/beechhoist/http/HttpParser.java
+++ b/src/main/java/org/beechhoist/http/HttpParser.java
@@ -123,7 +123,7 @@
         if (first.length != 3
                 || first[0].isEmpty()
                 || !first[0].chars().allMatch(c -> c >= 'A' && c <= 'Z')
-                || first[1].isEmpty()) {
+                || !isTarget(first[1])) {
             throw new UnparsableMessageException(400, "malformed request line");
         }
         if (!first[2].equals("HTTP/1.1") && !first[2].equals("HTTP/1.0")) {
@@ -135,6 +135,11 @@
         return new HttpMessage(first[0], first[1], 0, headers, EMPTY);
     }
 
+    /** Whether it has visible ASCII characters only (RFC 9112, 3.2): parts of it go into requests to the state service. */
+    private static boolean isTarget(String text) {
+        return !text.isEmpty() && text.chars().allMatch(c -> c > ' ' && c <= '~');
+    }
+
     private static HttpMessage statusLine(String[] first, Map<String, String> headers)
             throws UnparsableMessageException {
         if (first.length < 2 || !first[0].startsWith("HTTP/1.") || !first[1].matches("[1-5][0-9][0-9]")) {
--- a/src/test/java/org/beechhoist/http/HttpParserTest.java
+++ b/src/test/java/org/beechhoist/http/HttpParserTest.java
@@ -13,6 +13,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 class HttpParserTest {
     private static final int MAX_BODY_BYTES = 64 * 1024;
@@ -46,6 +47,18 @@
         assertEquals(expected, status(text));
     }
 
+    /** Guards against a line end within a path, which would end the request line of a request to the state service. */
+    @ParameterizedTest
+    @ValueSource(ints = {0, 9, 11, 0x0A, 0x0D, 0x7F, 0x85, 0xE9, 0xFF})
+    void targetWithOtherThanVisibleAsciiGets400(int character) {
+        HttpParser parser = new HttpParser(true, MAX_BODY_BYTES);
+        String head = "GET /v1/calendars/a" + (char) character + "b HTTP/1.1\r\n\r\n";
+        parser.feed(ByteBuffer.wrap(head.getBytes(StandardCharsets.ISO_8859_1)));
+        HttpParser.UnparsableMessageException refused =
+                assertThrows(HttpParser.UnparsableMessageException.class, parser::next);
+        assertEquals(400, refused.status);
+    }
+
     @Test
     void headWithoutEndIsRefusedWith431() {
         HttpParser p = new HttpParser(true, MAX_BODY_BYTES);
