A resize is answered with the job's current counts

Cause: the answer took the counts from the job's stored record, which is rewritten only now and then (changes go to the log in between); a poll adds the current counts.

Change: the answer gets the same details as a poll.

--- a/src/main/java/org/beechhoist/controller/ResizeHandler.java
+++ b/src/main/java/org/beechhoist/controller/ResizeHandler.java
@@ -1,6 +1,7 @@
 package org.beechhoist.controller;
 
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.function.BiConsumer;
 import java.util.function.Consumer;
 import java.util.function.LongConsumer;
 import org.beechhoist.config.Policy;
@@ -33,8 +34,10 @@
     private final TokenBucket writes;
     private final Policy policy;
     private final StoredJobReader reader;
+    private final BiConsumer<JobId, ObjectNode> statusDetails;
     private final LongConsumer refuse;
 
+    /** Creates a handler; {@code statusDetails} adds to an open job's state what its record does not have, such as current counts. */
     ResizeHandler(
             ControllerContext context,
             StoreClient store,
@@ -42,6 +45,7 @@
             TokenBucket writes,
             Policy policy,
             StoredJobReader reader,
+            BiConsumer<JobId, ObjectNode> statusDetails,
             LongConsumer refuse) {
         this.context = context;
         this.store = store;
@@ -49,6 +53,7 @@
         this.writes = writes;
         this.policy = policy;
         this.reader = reader;
+        this.statusDetails = statusDetails;
         this.refuse = refuse;
     }
 
@@ -96,7 +101,7 @@
                 } else if (record.width != null
                         && resize.number() != null
                         && resize.number() == record.width.number()) {
-                    context.respond(request, 200, found.status()); // repeated request
+                    respondResized(request, jobId, (ObjectNode) found.status()); // repeated request
                 } else {
                     commitWidth(request, jobId, resize, found.open(), record, conflicts);
                 }
@@ -139,10 +144,16 @@
         String key = JobRecord.openKey(jobId);
         store.commit(new Transaction().guard(key, open.version()).put(key, value), commit -> {
             switch (commit.outcome()) {
-                case COMMITTED -> context.respond(request, 200, JobResponses.openStatus(jobId, value));
+                case COMMITTED -> respondResized(request, jobId, JobResponses.openStatus(jobId, value));
                 case CONFLICT -> resize(request, jobId, resize, conflicts + 1);
                 default -> refuse.accept(request);
             }
         });
     }
+
+    /** Answers with the job's state, as a poll would: the counts in its record may be old. */
+    private void respondResized(long request, JobId jobId, ObjectNode state) {
+        statusDetails.accept(jobId, state);
+        context.respond(request, 200, state);
+    }
 }
--- a/src/main/java/org/beechhoist/controller/UserApi.java
+++ b/src/main/java/org/beechhoist/controller/UserApi.java
@@ -79,7 +79,14 @@
         this.acknowledgements = acknowledgements;
         this.reader = new JobReader(context, store, requests, isolated);
         this.resizeHandler = new ResizeHandler(
-                context, store, requests, writes, policy, this::readIfAllowed, id -> refuse(id, STORE_UNAVAILABLE));
+                context,
+                store,
+                requests,
+                writes,
+                policy,
+                this::readIfAllowed,
+                statusDetails,
+                id -> refuse(id, STORE_UNAVAILABLE));
         this.statusReads = new ConditionalStatusReads(context, store, requests, settings);
         this.sharedReads = new SharedRecordReads(context, store, requests, settings);
         this.rules = new SubmissionRules(settings, machineTypes, keySets);
--- a/src/test/java/org/beechhoist/sim/ElasticSimulationTest.java
+++ b/src/test/java/org/beechhoist/sim/ElasticSimulationTest.java
@@ -8,6 +8,8 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
 import org.beechhoist.config.Policy;
 import org.beechhoist.controller.context.Effect;
 import org.beechhoist.wire.Codec;
@@ -18,6 +20,8 @@
 
 /** Elastic jobs in simulated time: the rules are checked after every event, a narrower width at every start. */
 class ElasticSimulationTest {
+    private static final long MAX_LAG_MS = 3000;
+
     static final Policy ON = Policy.DEFAULT.with(new Policy.Elastic(true, 10_000, 4));
 
     static World world(long seed) {
@@ -107,6 +111,33 @@
         assertEquals(List.of(), w.unfinished());
     }
 
+    /** Guards against answers to resizes with the counts of an old record: a state may lag by 3 s, as the page says of polls. */
+    @Test
+    void answerToAResizeLagsNoMoreThanAPoll() {
+        World w = world(8);
+        String ref = batch(w, 200, 1, 20, null, 0);
+        TreeMap<Long, Integer> polled = new TreeMap<>(Map.of(0L, 0));
+        List<String> older = new ArrayList<>();
+        int[] answers = new int[1];
+        w.every(700, () -> {
+            w.request(
+                    "GET",
+                    "/v1/jobs/" + ref,
+                    null,
+                    poll -> polled.put(w.now, poll.body().path("done").asInt()));
+            w.resize(ref, to(18 + answers[0] % 2), answer -> {
+                answers[0]++;
+                int known = polled.floorEntry(Math.max(0, w.now - MAX_LAG_MS)).getValue();
+                if (answer.status() == 200 && answer.body().path("done").asInt() < known) {
+                    older.add(answer.body() + " after " + known + " done");
+                }
+            });
+        });
+        w.runUntil(120_000);
+        assertTrue(answers[0] >= 50, answers[0] + " resizes");
+        assertEquals(List.of(), older);
+    }
+
     /** The node that wrote a narrower width dies with the answer on its way: its successor ends the surplus. */
     @Test
     void aLeaderKilledAfterTheShrinkIsCommitted() {
