--- a/review/standins-2/Region.java
+++ b/review/standins-2/Region.java
@@ -210,6 +210,15 @@
         });
     }
 
+    /** The machines that are up and have room for a task of this kind. */
+    List<String> roomFor(double cpus, double memGb) {
+        return call(() -> hosts.entrySet().stream()
+                .filter(e -> !e.getValue().gone && e.getValue().worker != null && !e.getValue().worker.noticed())
+                .filter(e -> e.getValue().worker.free()[0] >= cpus && e.getValue().worker.free()[1] >= memGb)
+                .map(Map.Entry::getKey)
+                .toList());
+    }
+
     /** The running tasks of a job, with the machine of each. */
     Map<TaskId, String> running(String job) {
         Map<TaskId, String> out = new LinkedHashMap<>();
