Review case 8: tasks wait for a cheap machine that never comes up

Cause: the plan prefers a rented cheap machine to one that is up, for as long as the former is only late.

--- a/review/standins-2/Region.java
+++ b/review/standins-2/Region.java
@@ -166,6 +166,15 @@
         });
     }
 
+    /** From now on machines that are rented never come up, or come up as usual again. */
+    void bootTrouble(boolean begins) {
+        call(() -> {
+            cloud.bootFails = begins ? 1 : 0;
+            return null;
+        });
+        record.line("machines that are rented from now on come up: " + !begins);
+    }
+
     /** Lets a machine stop with all that is on it; the cloud lists it as failed, later than that. */
     void stopMachine(String name) {
         call(() -> {
@@ -239,6 +248,11 @@
         return (int) finishedAt.keySet().stream().filter(t -> t.job().text().equals(job)).count();
     }
 
+    /** How many tasks of the job have begun to run. */
+    int started(String job) {
+        return (int) startedAt.keySet().stream().filter(t -> t.job().text().equals(job)).count();
+    }
+
     long lastFinishedAt(String job) {
         return finishedAt.entrySet().stream()
                 .filter(e -> e.getKey().job().text().equals(job))
