--- a/review/standins-2/Case6.java
+++ b/review/standins-2/Case6.java
@@ -1,9 +1,17 @@
+import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.nio.file.Path;
+import java.util.List;
+import org.beechhoist.wire.TaskId;
 
-/** The leader ends while tasks of a job wait for their image; their user cancels the job at another controller. */
+/**
+ * A team at its limit submits arrays of a class several times as often as usual. A job of another team, which is under its own limit,
+ * is submitted afterwards, while most machines are idle.
+ */
 final class Case6 extends Case {
-    private static final String JOB = "job-000001";
-    private static final long RESTART_MS = 3000;
+    private static final int ARRAYS = 9;
+    private static final int TASKS = 1000;
+    private static final String OTHER = "job-000100";
+    private static final long MAX_WAIT_MS = 90_000;
 
     public static void main(String[] args) {
         new Case6().runIn(Path.of(args[0]));
@@ -12,46 +20,48 @@
     @Override
     int play() throws Exception {
         build(
-                new Region.Layout(Sites.KUMAMOTO_TYPES, 2, 40, 8192, 3000, 32_000, 10_000, 3),
-                Sites.KUMAMOTO_ZONES,
-                Sites.KUMAMOTO);
-        region.runs = (task, host) -> 80_000L;
-        for (String zone : Sites.KUMAMOTO_ZONES) {
-            region.machinesAtStart("forge32", zone, 1);
+                new Region.Layout(Sites.HEREDIA_TYPES, 2, 16, 8192, 3000, 26_000, 8000, 3),
+                Sites.HEREDIA_ZONES,
+                Sites.HEREDIA);
+        region.quiet = true;
+        region.runs = (TaskId task, String host) -> 25_000L;
+        for (String zone : Sites.HEREDIA_ZONES) {
+            region.machinesAtStart("jaguar32", zone, 2);
         }
         startControllers();
-        int leader = leader();
-        String other = controllers.publicAddress((leader + 1) % 3);
-        user.submit(other, Sites.job(JOB, "hashsweep", "nightless", "normal", 3, 8, 27).put("pullGb", 3.0).put("guessS", 80.0));
-        if (!await(20_000, () -> region.lastLaunchedAt(JOB) > 0)) {
-            return NOT_RUN;
+        String address = controllers.publicAddress((leader() + 1) % 3);
+        for (int i = 1; i <= (trouble ? ARRAYS : 1); i++) {
+            ObjectNode array = Sites.job(
+                            String.format("job-%06d", i), "podscan", "plataforma", "urgent", TASKS, 3, 5.4)
+                    .put("loaner", false)
+                    .put("pullGb", 0.3);
+            array.putArray("hosttypes").add("jaguar32");
+            user.submit(address, array);
         }
-        sleep(5500); // of the 7.5 s that the image takes
-        if (trouble) {
-            controllers.kill(leader);
-        }
-        sleep(300);
-        User.Answer answer = new User.Answer(0, null);
-        for (int i = 0; i < 20 && answer.status() != 200; i++) {
-            answer = user.cancel(other, JOB);
-            if (answer.status() != 200) {
-                sleep(1000);
+        sleep(3000);
+        ObjectNode other = Sites.job(OTHER, "podscan", "cadena", "normal", 2, 4, 5.4).put("pullGb", 0.3).put("loaner", false);
+        other.putArray("hosttypes").add("jaguar32");
+        user.submit(address, other);
+        long accepted = record.ms();
+        int least = Integer.MAX_VALUE;
+        long nextPoll = 0;
+        while (region.lastStartedAt(OTHER) == 0 && record.ms() < accepted + MAX_WAIT_MS + 3000) {
+            sleep(200);
+            List<String> room = region.roomFor(4, 5.4);
+            least = Math.min(least, room.size());
+            if (record.ms() >= nextPoll) {
+                nextPoll = record.ms() + 5000;
+                user.poll(address, OTHER);
+                record.line("machines with room for a task of it: " + room);
             }
         }
-        long told = record.ms();
-        if (answer.status() != 200 || !answer.state().equals("cancelled") || region.lastStartedAt(JOB) > 0) {
-            record.line("the job was not cancelled before its tasks began");
-            return NOT_RUN;
-        }
-        if (trouble) {
-            sleep(RESTART_MS - 500);
-            controllers.start(leader);
+        boolean begun = region.lastStartedAt(OTHER) > 0;
+        long waited = (begun ? region.lastStartedAt(OTHER) : record.ms()) - accepted;
+        record.line("the other team's job has begun: " + begun + ", it waited " + waited / 1000.0 + " s; machines with room for a task of it, at least: "
+                + least);
+        if (begun && waited <= MAX_WAIT_MS) {
+            return HELD;
         }
-        sleep(25_000);
-        user.poll(other, JOB);
-        long started = region.lastStartedAt(JOB);
-        record.line("told cancelled at " + told / 1000.0 + "; last start of a task at " + started / 1000.0
-                + "; tasks still running: " + region.running(JOB).size());
-        return started > told ? BROKEN : HELD;
+        return least > 0 ? BROKEN : NOT_RUN;
     }
 }
--- a/review/standins-2/Case7.java
+++ b/review/standins-2/Case7.java
@@ -1,12 +1,9 @@
-import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.nio.file.Path;
-import java.util.List;
 
-/** One task of a huge array runs far longer than its owner's estimate, the others are short. */
+/** The leader ends while tasks of a job wait for their image; their user cancels the job at another controller. */
 final class Case7 extends Case {
     private static final String JOB = "job-000001";
-    private static final int TASKS = 4000;
-    private static final long MAX_WAIT_MS = 90_000;
+    private static final long RESTART_MS = 3000;
 
     public static void main(String[] args) {
         new Case7().runIn(Path.of(args[0]));
@@ -15,51 +12,46 @@
     @Override
     int play() throws Exception {
         build(
-                new Region.Layout(Sites.HEREDIA_TYPES, 2, 16, 8192, 3000, 26_000, 8000, 3),
-                Sites.HEREDIA_ZONES,
-                Sites.HEREDIA);
-        region.quiet = true;
-        region.runs = (task, host) -> task.index() == 0 && trouble ? 180_000L : 1000L;
-        for (String zone : Sites.HEREDIA_ZONES) {
-            region.machinesAtStart("jaguar32", zone, 2);
+                new Region.Layout(Sites.KUMAMOTO_TYPES, 2, 40, 8192, 3000, 32_000, 10_000, 3),
+                Sites.KUMAMOTO_ZONES,
+                Sites.KUMAMOTO);
+        region.runs = (task, host) -> 80_000L;
+        for (String zone : Sites.KUMAMOTO_ZONES) {
+            region.machinesAtStart("forge32", zone, 1);
         }
         startControllers();
-        String address = controllers.publicAddress((leader() + 1) % 3);
-        ObjectNode job = Sites.job(JOB, "volcan", "ucr-movilidad", "normal", TASKS, 0.25, 0.45)
-                .put("guessS", 2.0)
-                .put("pullGb", 0.3)
-                .put("loaner", false);
-        job.putArray("hosttypes").add("jaguar32");
-        user.submit(address, job);
-        int finished = 0;
-        int least = Integer.MAX_VALUE;
-        long since = record.ms();
-        long nextPoll = 0;
-        while (region.finished(JOB) < TASKS && record.ms() < 116_000) {
-            sleep(200);
-            if (region.finished(JOB) > finished || region.running(JOB).size() != (trouble ? 1 : 0)) {
-                finished = region.finished(JOB);
-                since = record.ms();
-                least = Integer.MAX_VALUE;
-            }
-            List<String> room = region.roomFor(0.25, 0.45);
-            least = Math.min(least, room.size());
-            if (record.ms() >= nextPoll) {
-                nextPoll = record.ms() + 5000;
-                user.poll(address, JOB);
-                record.line("completed " + finished + " of " + TASKS + ", running " + region.running(JOB).size()
-                        + "; machines with room for a task of it: " + room);
-            }
-            if (record.ms() > since + MAX_WAIT_MS + 1000) {
-                break;
+        int leader = leader();
+        String other = controllers.publicAddress((leader + 1) % 3);
+        user.submit(other, Sites.job(JOB, "hashsweep", "nightless", "normal", 3, 8, 27).put("pullGb", 3.0).put("guessS", 80.0));
+        if (!await(20_000, () -> region.lastLaunchedAt(JOB) > 0)) {
+            return NOT_RUN;
+        }
+        sleep(5500); // of the 7.5 s that the image takes
+        if (trouble) {
+            controllers.kill(leader);
+        }
+        sleep(300);
+        User.Answer answer = new User.Answer(0, null);
+        for (int i = 0; i < 20 && answer.status() != 200; i++) {
+            answer = user.cancel(other, JOB);
+            if (answer.status() != 200) {
+                sleep(1000);
             }
         }
-        long waited = record.ms() - since;
-        record.line("completed " + region.finished(JOB) + " of " + TASKS + "; for " + waited / 1000.0
-                + " s no task has started; machines with room, at least: " + least);
-        if (region.finished(JOB) == TASKS) {
-            return HELD;
+        long told = record.ms();
+        if (answer.status() != 200 || !answer.state().equals("cancelled") || region.lastStartedAt(JOB) > 0) {
+            record.line("the job was not cancelled before its tasks began");
+            return NOT_RUN;
+        }
+        if (trouble) {
+            sleep(RESTART_MS - 500);
+            controllers.start(leader);
         }
-        return waited > MAX_WAIT_MS && least > 0 ? BROKEN : NOT_RUN;
+        sleep(25_000);
+        user.poll(other, JOB);
+        long started = region.lastStartedAt(JOB);
+        record.line("told cancelled at " + told / 1000.0 + "; last start of a task at " + started / 1000.0
+                + "; tasks still running: " + region.running(JOB).size());
+        return started > told ? BROKEN : HELD;
     }
 }
--- a/review/standins-2/Region.java
+++ b/review/standins-2/Region.java
@@ -47,6 +47,9 @@
         private long lastReportAt = -LEAST_REPORT_GAP_MS;
         private long nextReportAt;
         private int target;
+        private long downUntil;
+        /** Answers to reports of an earlier life of the machine reach nobody. */
+        private int life;
     }
 
     /** How the region is made. */
@@ -79,6 +82,7 @@
     private final Map<TaskId, Long> finishedAt = new ConcurrentHashMap<>();
     private final Map<TaskId, Long> startedAt = new ConcurrentHashMap<>();
     private final Map<TaskId, Long> launchedAt = new ConcurrentHashMap<>();
+    private final AtomicInteger twice = new AtomicInteger();
     private final AtomicInteger failed = new AtomicInteger();
     private final SplittableRandom random = new SplittableRandom(11);
     private List<String> names = List.of();
@@ -166,27 +170,44 @@
         });
     }
 
-    /** From now on machines that are rented never come up, or come up as usual again. */
-    void bootTrouble(boolean begins) {
+    /**
+     * Lets a machine stop and be back after so long, under its name and at its address: its worker knows nothing of before, is in its
+     * first session and has seen no token.
+     */
+    void restartMachine(String name, long downMs) {
         call(() -> {
-            cloud.bootFails = begins ? 1 : 0;
+            Host host = hosts.get(name);
+            Worker old = host.worker;
+            record.line("machine stops with " + old.held().size() + " tasks: " + name);
+            old.die();
+            host.downUntil = now() + downMs;
+            host.worker = new Worker(
+                    name, old.address, old.type, old.zone, old.spot, layout.leaseMs(), host.downUntil, this);
+            host.reporting = false;
+            host.life++;
+            loop.schedule(downMs, () -> record.line("machine is back: " + name));
             return null;
         });
-        record.line("machines that are rented from now on come up: " + !begins);
     }
 
-    /** Lets a machine stop with all that is on it; the cloud lists it as failed, later than that. */
-    void stopMachine(String name) {
-        call(() -> {
-            for (Cloud.Machine machine : cloud.machines()) {
-                if (machine.name.equals(name)) {
-                    cloud.end(machine, true, now());
-                }
-            }
-            return null;
+    /** Delivers a call of commands to a machine once more, as it was received; returns the status of the worker's answer. */
+    int deliverAgain(String name, JsonNode orders) {
+        return call(() -> {
+            noteOrders(name, orders.path("orders"), "a late copy of a direct call, token " + orders.path("baton")
+                    + ", session " + orders.path("shift"));
+            return hosts.get(name).worker.orders(now(), orders).status();
         });
     }
 
+    /** The direct calls of commands that machines have received, with the machine of each. */
+    record DirectCall(String host, JsonNode orders) {}
+
+    private final List<DirectCall> directCalls = new ArrayList<>();
+
+    List<DirectCall> directCalls() {
+        return call(() -> List.copyOf(directCalls));
+    }
+
     /** Runs an action on the thread of the stand-ins and returns its result. */
     <T> T call(Callable<T> action) {
         CompletableFuture<T> done = new CompletableFuture<>();
@@ -239,6 +260,11 @@
         return out;
     }
 
+    /** How many tasks have started on one machine while they were on another. */
+    int startedTwice() {
+        return twice.get();
+    }
+
     /** How many attempts have failed. */
     int failed() {
         return failed.get();
@@ -248,11 +274,6 @@
         return (int) finishedAt.keySet().stream().filter(t -> t.job().text().equals(job)).count();
     }
 
-    /** How many tasks of the job have begun to run. */
-    int started(String job) {
-        return (int) startedAt.keySet().stream().filter(t -> t.job().text().equals(job)).count();
-    }
-
     long lastFinishedAt(String job) {
         return finishedAt.entrySet().stream()
                 .filter(e -> e.getKey().job().text().equals(job))
@@ -295,7 +316,7 @@
         state.tick(now());
         cloud.tick(now());
         for (Host host : new ArrayList<>(hosts.values())) {
-            if (host.gone || host.worker == null) {
+            if (host.gone || host.worker == null || now() < host.downUntil) {
                 continue;
             }
             host.worker.tick(now());
@@ -369,11 +390,12 @@
         }
         try {
             InetSocketAddress at = new HttpServer(loop, loopback(0), MAX_BODY, 100, (message, responder) -> {
-                        if (host.gone) {
+                        if (host.gone || now() < host.downUntil) {
                             return;
                         }
                         JsonNode body = decode(message.body());
                         if (message.target().equals("/orders")) {
+                            directCalls.add(new DirectCall(machine.name, body));
                             noteOrders(machine.name, body.path("orders"), "direct, token " + body.path("baton"));
                             respond(responder, host.worker.orders(now(), body));
                         } else {
@@ -416,14 +438,15 @@
         host.reporting = true;
         host.lastReportAt = now();
         host.nextReportAt = now() + Math.round(layout.reportMs() * (0.75 + 0.5 * random.nextDouble()));
+        int life = host.life;
         long sent = now();
         long shift = host.worker.shift();
         ObjectNode report = host.worker.report();
         client.request(nodes.get(host.target), "POST", "/checkin", Codec.encode(report), 4000, result -> {
-            host.reporting = false;
-            if (host.gone) {
+            if (host.gone || life != host.life) {
                 return;
             }
+            host.reporting = false;
             JsonNode body = result instanceof HttpClient.Response reply ? decode(reply.body()) : Codec.map();
             int status = result instanceof HttpClient.Response reply ? reply.status() : 0;
             if (status == 200) {
@@ -460,7 +483,8 @@
     public void started(Worker on, TaskId task, long attempt) {
         String elsewhere = running.put(task, on.name);
         startedAt.put(task, record.ms());
-        if (elsewhere != null) {
+        if (elsewhere != null && !elsewhere.equals(on.name)) {
+            twice.incrementAndGet();
             record.line("TASK ON TWO MACHINES: " + task + " on " + elsewhere + " and " + on.name);
         }
         if (!quiet) {
--- a/review/standins-2/User.java
+++ b/review/standins-2/User.java
@@ -52,14 +52,19 @@
         return send(address, "GET", "/ready", null, 1000).status() == 200;
     }
 
+    /** Submits a job once. */
+    Answer submitOnce(String address, ObjectNode job) {
+        Answer answer = send(address, "POST", "/v1/jobs", job, 5000);
+        record.line("submit " + job.get("ref").asText() + " at " + address + " -> " + answer.status() + " " + answer.body());
+        return answer;
+    }
+
     /** Submits a job until it is accepted or refused, for 60 s at most. */
     Answer submit(String address, ObjectNode job) throws Exception {
         region.upload(job.get("ref").asText(), JobSpec.parse(job));
         Answer answer = new Answer(0, Codec.map());
         for (int tries = 0; tries < 20; tries++) {
-            answer = send(address, "POST", "/v1/jobs", job, 5000);
-            record.line("submit " + job.get("ref").asText() + " at " + address + " -> " + answer.status() + " "
-                    + answer.body());
+            answer = submitOnce(address, job);
             if (answer.status() == 200 || answer.status() == 201 || answer.status() == 400 || answer.status() == 422) {
                 return answer;
             }
