Review cases: wait for a leader, and launch at once in case 7

Cause: one run of case 7 beside a full machine could not run: before the machines had reported, a cheap machine was rented for the job, and the job waited for it. Change: the job of case 7 takes no cheap machines; all cases wait for a leader where they need its name.

--- a/review/standins-2/Case.java
+++ b/review/standins-2/Case.java
@@ -88,6 +88,15 @@
         return -1;
     }
 
+    /** The controller that leads; waits for one. */
+    final int awaitLeader() {
+        int[] leader = {-1};
+        if (!await(10_000, () -> (leader[0] = leader()) >= 0)) {
+            throw new IllegalStateException("no controller leads");
+        }
+        return leader[0];
+    }
+
     static boolean await(long ms, BooleanSupplier condition) {
         long until = System.nanoTime() + ms * 1_000_000;
         while (System.nanoTime() < until) {
--- a/review/standins-2/Case4.java
+++ b/review/standins-2/Case4.java
@@ -32,7 +32,7 @@
             region.machinesAtStart("jaguar32", zone, 1);
         }
         startControllers();
-        String address = controllers.publicAddress((leader() + 1) % 3);
+        String address = controllers.publicAddress((awaitLeader() + 1) % 3);
         // Work on all machines, so that none is returned as idle.
         user.submit(address, Sites.job("job-000002", "routeplan", "rayo-sur", "normal", 8, 15, 17).put("pullGb", 0.5).put("guessS", 60.0).put("loaner", false));
         await(10_000, () -> region.running("job-000002").size() == 8);
--- a/review/standins-2/Case5.java
+++ b/review/standins-2/Case5.java
@@ -64,7 +64,7 @@
             region.machinesAtStart("jaguar32", zone, 2);
         }
         startControllers();
-        String address = controllers.publicAddress((leader() + 1) % 3);
+        String address = controllers.publicAddress((awaitLeader() + 1) % 3);
         ObjectNode large = Sites.job(LARGE, "volcan", "ucr-movilidad", "urgent", 60_000, 0.25, 0.45)
                 .put("guessS", 1.0)
                 .put("pullGb", 0.3)
--- a/review/standins-2/Case6.java
+++ b/review/standins-2/Case6.java
@@ -29,7 +29,7 @@
             region.machinesAtStart("jaguar32", zone, 2);
         }
         startControllers();
-        String address = controllers.publicAddress((leader() + 1) % 3);
+        String address = controllers.publicAddress((awaitLeader() + 1) % 3);
         for (int i = 1; i <= (trouble ? ARRAYS : 1); i++) {
             ObjectNode array = Sites.job(
                             String.format("job-%06d", i), "podscan", "plataforma", "urgent", TASKS, 3, 5.4)
--- a/review/standins-2/Case7.java
+++ b/review/standins-2/Case7.java
@@ -20,9 +20,9 @@
             region.machinesAtStart("forge32", zone, 1);
         }
         startControllers();
-        int leader = leader();
+        int leader = awaitLeader();
         String other = controllers.publicAddress((leader + 1) % 3);
-        user.submit(other, Sites.job(JOB, "hashsweep", "nightless", "normal", 3, 8, 27).put("pullGb", 3.0).put("guessS", 80.0));
+        user.submit(other, Sites.job(JOB, "hashsweep", "nightless", "normal", 3, 8, 27).put("pullGb", 3.0).put("guessS", 80.0).put("loaner", false));
         if (!await(20_000, () -> region.lastLaunchedAt(JOB) > 0)) {
             return NOT_RUN;
         }
