A copy of a launch starts no task on a restarted worker

Cause: only the worker's memory refused a copy of a launch that was sent directly. The restarted worker has none; it was answered with the token that the copy carries, for the task's next attempt had been given no newer one, and its first heartbeats were taken for late copies, so that the restart was found when the machine was overdue.

Fix: a task's next attempt is committed together with a newer token than that of any earlier direct launch of its job. A heartbeat that may be a restarted worker's first has the machine probed at once; a worker found to have restarted, by the answer to a probe or to commands, is sent the current token directly and the next once it is committed. Heartbeats that prove nothing, and answers to commands, are followed by kills of attempts that no record places on the machine. So a worker that has heard of the leader refuses each copy by its token, and what a copy started before that is killed while its image is fetched.

--- a/src/main/java/org/beechhoist/controller/Leader.java
+++ b/src/main/java/org/beechhoist/controller/Leader.java
@@ -68,6 +68,7 @@
         workers.coldStart.restart();
         scheduling.planner.startTerm();
         workers.committer.reset();
+        workers.workerRestarts.reset();
         workers.provisioner.reset(election.fencingToken());
         scheduling.releaseController.startTerm();
         scheduling.migrationController.startTerm();
--- a/src/main/java/org/beechhoist/controller/Provisioner.java
+++ b/src/main/java/org/beechhoist/controller/Provisioner.java
@@ -151,6 +151,11 @@
         return scaleOut;
     }
 
+    @Override
+    public void probeForRestart(Machine machine) {
+        failureDetector.probeForRestart(machine);
+    }
+
     @Override
     public boolean isReleased(MachineId id) {
         return released.contains(id);
--- a/src/main/java/org/beechhoist/controller/WorkerComponents.java
+++ b/src/main/java/org/beechhoist/controller/WorkerComponents.java
@@ -27,6 +27,7 @@
 import org.beechhoist.wire.FencingToken;
 import org.beechhoist.wire.Heartbeat;
 import org.beechhoist.wire.JobId;
+import org.beechhoist.wire.WorkerCommand;
 
 /**
  * Constructs and connects the leader's cluster state, the transactions that store it, and the components that manage
@@ -55,6 +56,7 @@
     final ElasticWidths elasticWidths;
     final PlacementLauncher launcher;
     final HeartbeatHandler heartbeatHandler;
+    final WorkerRestartHandler workerRestarts;
     final CancellationEnforcer cancellationEnforcer;
 
     private final Policy policy;
@@ -100,6 +102,7 @@
         launcher = new PlacementLauncher(clusterState, elasticWidths, taskRemoval, lossTracker, dispatcher);
         heartbeatHandler = new HeartbeatHandler(
                 services, state, dispatcher, taskRemoval, faultTracker, provisioner, elasticWidths);
+        workerRestarts = new WorkerRestartHandler(services, clusterState, committer, dispatcher, heartbeatHandler);
         cancellationEnforcer = createCancellationEnforcer();
     }
 
@@ -131,8 +134,6 @@
     }
 
     private Provisioner createProvisioner() {
-        WorkerRestartHandler restarts =
-                new WorkerRestartHandler(services.context(), services.election(), clusterState, committer);
         return new Provisioner(
                 services,
                 policy,
@@ -144,7 +145,7 @@
                 taskRemoval,
                 lossTracker,
                 coldStart,
-                restarts::handleRestart);
+                (machine, heartbeat) -> workerRestarts.handleRestart(machine, heartbeat));
     }
 
     private ElasticWidths createElasticWidths() {
@@ -184,8 +185,13 @@
     /** Forwards the answers of workers to commands and probes. */
     private final class CommandOutcomes implements CommandDispatcher.Listener {
         @Override
-        public void heartbeatReceived(Machine machine, Heartbeat heartbeat) {
-            heartbeatHandler.reconcile(machine, heartbeat, false);
+        public List<WorkerCommand> heartbeatReceived(Machine machine, Heartbeat heartbeat) {
+            return heartbeatHandler.reconcileAnswer(machine, heartbeat);
+        }
+
+        @Override
+        public void workerRestarted(Machine machine, Heartbeat heartbeat) {
+            workerRestarts.handleRestart(machine, heartbeat);
         }
 
         @Override
@@ -213,6 +219,11 @@
             launcher.launch(placed);
         }
 
+        @Override
+        public void tokenRotated() {
+            workerRestarts.sendRotatedToken();
+        }
+
         @Override
         public void jobCommitted(Job job) {
             elasticWidths.reconcileWidth(job);
--- a/src/main/java/org/beechhoist/controller/state/Job.java
+++ b/src/main/java/org/beechhoist/controller/state/Job.java
@@ -13,6 +13,7 @@
 import org.beechhoist.store.JobRecord;
 import org.beechhoist.store.Placement;
 import org.beechhoist.store.StoreClient;
+import org.beechhoist.wire.FencingToken;
 import org.beechhoist.wire.JobId;
 import org.beechhoist.wire.JobSpec;
 import org.beechhoist.wire.MachineId;
@@ -47,6 +48,8 @@
     StoreClient.KeyValue pendingChange;
     /** The commit time (time of day) of a cancellation that became known before the record with it was read; otherwise 0. */
     public long outOfBandCancelledAtMs;
+    /** The newest token that launched an attempt which ended without completing its task; copies of that launch may still arrive. */
+    FencingToken unfinishedLaunchToken = FencingToken.NONE;
     /** The number of placements that are not committed yet; their launches wait for the commit. */
     public int uncommittedPlacements;
     /** The time at which the job was accepted, computed from the time of day in its record. */
@@ -189,6 +192,20 @@
         return record.isCancelled() ? "cancelled" : "done";
     }
 
+    /** Records that an attempt has ended without completing its task, so that the task may be placed again. */
+    public void recordUnfinished(Placement placement) {
+        FencingToken launched = placement.newestLaunchToken();
+        unfinishedLaunchToken = launched.compareTo(unfinishedLaunchToken) > 0 ? launched : unfinishedLaunchToken;
+    }
+
+    /**
+     * Returns whether the job's new placements need a newer token than the current one. A worker that has lost its state executes
+     * copies of earlier launches, unless it has seen a newer token than theirs.
+     */
+    boolean needsNewerToken(FencingToken current) {
+        return uncommittedPlacements > 0 && unfinishedLaunchToken.compareTo(current) >= 0;
+    }
+
     /** Returns whether all changes of the job are stored in the state service. */
     public boolean isPersisted() {
         return !dirty && !inFlight;
--- a/src/main/java/org/beechhoist/controller/state/Machine.java
+++ b/src/main/java/org/beechhoist/controller/state/Machine.java
@@ -136,6 +136,14 @@
         callsUnanswered = false;
     }
 
+    /**
+     * Returns whether the answer to a call proves that the worker has restarted: it would have numbered the answer above what was
+     * known of it when the call was sent.
+     */
+    public boolean isRestartedBy(Heartbeat answer, long epochWhenSent, long sequenceWhenSent) {
+        return !answer.isNewerThan(epoch, sequence) && !answer.isNewerThan(epochWhenSent, sequenceWhenSent);
+    }
+
     /** Records that the machine has answered a probe or command of this term. */
     public void recordAnswer(MonotonicTime now) {
         reachability = reachability.afterProof(now);
--- a/src/main/java/org/beechhoist/controller/state/StateLoader.java
+++ b/src/main/java/org/beechhoist/controller/state/StateLoader.java
@@ -323,6 +323,7 @@
         Job known = old.get(job.id());
         if (known != null) {
             job.notBefore = known.notBefore;
+            job.unfinishedLaunchToken = known.unfinishedLaunchToken;
             job.failedOnMachines.addAll(known.failedOnMachines);
             job.lastProgressAt = known.lastProgressAt;
         }
--- a/src/main/java/org/beechhoist/controller/state/TransactionCommitter.java
+++ b/src/main/java/org/beechhoist/controller/state/TransactionCommitter.java
@@ -15,6 +15,7 @@
 import org.beechhoist.store.StoreClient.CommitResult;
 import org.beechhoist.store.TokenBucket;
 import org.beechhoist.store.Transaction;
+import org.beechhoist.wire.FencingToken;
 import org.beechhoist.wire.JobId;
 import org.beechhoist.wire.MonotonicTime;
 import org.beechhoist.wire.Revision;
@@ -64,6 +65,9 @@
         /** Called when placements are committed, so that their launches may be sent. */
         void placementsCommitted(List<Placement> placements);
 
+        /** Called when the fencing token is a newer one. */
+        void tokenRotated();
+
         /** Called when the changes of the job in a transaction are committed. */
         void jobCommitted(Job job);
 
@@ -152,7 +156,7 @@
         if (!loader.isActive() || commitInFlight || context.now().isBefore(nextCommitAt)) {
             return;
         }
-        boolean rotating = isRotationDue();
+        boolean rotating = isRotationDue() || isRotationRequiredByPlacements();
         boolean foldDue = selector.isCompactionDue();
         if (clusterState.dirtyJobs().isEmpty() && !rotating && !foldDue && !isRelocationDue()) {
             return;
@@ -188,6 +192,12 @@
                         >= (rotationUrgent ? URGENT_ROTATION_INTERVAL_MS : ROTATION_INTERVAL_MS);
     }
 
+    /** Returns whether the token has to be rotated with the placements to be committed, which are launched with the new one. */
+    private boolean isRotationRequiredByPlacements() {
+        FencingToken current = election.fencingToken();
+        return clusterState.dirtyJobs().stream().anyMatch(job -> job.needsNewerToken(current));
+    }
+
     /** Returns the number of writes reserved for users of this node. */
     private double userReserve() {
         return Math.min(MAX_USER_WRITE_COUNT, USER_WRITE_SHARE * writes.capacity());
@@ -322,6 +332,7 @@
         if (rotating) {
             election.adoptToken(commit.revision());
             LOG.info("token rotated: token={}", election.fencingToken().value());
+            listener.tokenRotated();
         }
         batch.applyCommitted(commit.revision());
         for (WriteBatch.JobWrite write : batch.writes()) {
--- a/src/main/java/org/beechhoist/controller/worker/CommandDispatcher.java
+++ b/src/main/java/org/beechhoist/controller/worker/CommandDispatcher.java
@@ -48,8 +48,14 @@
 
     /** Receives the results of commands. */
     public interface Listener {
-        /** Called when a worker has answered commands with a heartbeat that it made after receiving them. */
-        void heartbeatReceived(Machine machine, Heartbeat heartbeat);
+        /**
+         * Called when a worker has answered commands with a heartbeat that it made after receiving them. Returns kills of the
+         * attempts that it shows and that no record places on the machine.
+         */
+        List<WorkerCommand> heartbeatReceived(Machine machine, Heartbeat heartbeat);
+
+        /** Called when a worker has answered commands with no newer message than was known before: it has restarted. */
+        void workerRestarted(Machine machine, Heartbeat heartbeat);
 
         /** Called when a launch sent with this token has no response: it may be executed minutes late. */
         void launchUnacknowledged(FencingToken fencingToken);
@@ -61,6 +67,16 @@
         void urgentTokenRotationRequested();
     }
 
+    /**
+     * Commands on their way to a worker.
+     *
+     * @param launches the placements of the launches among the commands
+     * @param epoch the epoch of the worker's newest message that was known when they were sent
+     * @param sequence the sequence number of that message
+     */
+    private record SentCommands(
+            List<WorkerCommand> commands, List<Placement> launches, FencingToken token, long epoch, long sequence) {}
+
     private final ControllerContext context;
     private final Settings settings;
     private final LeaderElection election;
@@ -168,6 +184,16 @@
         }
     }
 
+    /** Sends the current token to a restarted worker, so that it refuses copies of older commands, and kills with it. */
+    public void sendToken(Machine machine, List<WorkerCommand> kills) {
+        if (machine.address != null
+                && !machine.releasing
+                && election.holdsLease()
+                && coldStart.tryAcquireCommand(machine)) {
+            send(machine, kills, List.of());
+        }
+    }
+
     /**
      * Sends the queued commands of the machine, one call at a time, so that each response can be matched to its
      * commands.
@@ -237,17 +263,17 @@
     }
 
     private void send(Machine machine, List<WorkerCommand> commands, List<Placement> launches) {
-        FencingToken fencingToken = election.fencingToken();
-        long epoch = machine.epoch;
-        launches.forEach(placement -> placement.directLaunchToken = fencingToken);
+        SentCommands sent =
+                new SentCommands(commands, launches, election.fencingToken(), machine.epoch, machine.sequence);
+        launches.forEach(placement -> placement.directLaunchToken = sent.token);
         LOG.info(
                 "commands sent: machine={} token={} epoch={} commands={} launches={}",
                 machine.id,
-                fencingToken.value(),
-                epoch,
+                sent.token.value(),
+                sent.epoch,
                 commands.size(),
                 attempts(launches));
-        ObjectNode body = Codec.map().put("baton", fencingToken.value()).put("shift", epoch);
+        ObjectNode body = Codec.map().put("baton", sent.token.value()).put("shift", sent.epoch);
         body.set("orders", WorkerCommand.toNode(commands));
         machine.commandsInFlight++;
         long term = clusterState.term();
@@ -262,7 +288,7 @@
                     coldStart.callFinished();
                     if (clusterState.findMachine(machine.id) == machine) {
                         machine.commandsInFlight--;
-                        handleAnswer(machine, result, launches, fencingToken);
+                        handleAnswer(machine, result, sent);
                     }
                 });
     }
@@ -290,10 +316,10 @@
         }
     }
 
-    private void handleAnswer(Machine machine, CallResult result, List<Placement> launches, FencingToken fencingToken) {
+    private void handleAnswer(Machine machine, CallResult result, SentCommands sent) {
         Heartbeat heartbeat = parseHeartbeat(machine, result);
         if (heartbeat != null && !heartbeat.machine().equals(machine.id)) {
-            handleForeignAnswer(machine, heartbeat, launches);
+            handleForeignAnswer(machine, heartbeat, sent.launches);
             heartbeat = null;
         }
         if (heartbeat != null) {
@@ -301,9 +327,11 @@
         } else if (result.kind() != CallResult.Kind.NOT_SENT) {
             machine.recordUnansweredCall(context.now(), context.isLagging());
         }
-        settleLaunches(machine, result, heartbeat != null, launches, fencingToken);
+        settleLaunches(machine, result, heartbeat != null, sent);
         if (heartbeat != null && heartbeat.isNewerThan(machine.epoch, machine.sequence)) {
-            recordHeartbeat(machine, heartbeat, result.hasStatus(200) ? launches : List.of());
+            recordHeartbeat(machine, heartbeat, result.hasStatus(200) ? sent.launches : List.of(), sent.commands);
+        } else if (heartbeat != null && machine.isRestartedBy(heartbeat, sent.epoch, sent.sequence)) {
+            listener.workerRestarted(machine, heartbeat);
         }
         dispatch(machine);
     }
@@ -322,23 +350,27 @@
     }
 
     /** Records whether the launches were refused or may be executed late. */
-    private void settleLaunches(
-            Machine machine, CallResult result, boolean answered, List<Placement> launches, FencingToken fencingToken) {
+    private void settleLaunches(Machine machine, CallResult result, boolean answered, SentCommands sent) {
         boolean refused = result.kind() == CallResult.Kind.NOT_SENT
                 || (answered && result.hasStatus(409))
                 || result.hasStatus(400);
         if (refused) {
-            launches.forEach(placement -> placement.launchSent = false);
-        } else if (!(result.hasStatus(200) && answered) && !launches.isEmpty()) {
+            sent.launches.forEach(placement -> placement.launchSent = false);
+        } else if (!(result.hasStatus(200) && answered) && !sent.launches.isEmpty()) {
             // The launch may be executed minutes late, until the worker has seen a higher token.
-            LOG.info("launch unacknowledged: machine={} token={}", machine.id, fencingToken.value());
-            machine.unacknowledgedToken = fencingToken;
-            listener.launchUnacknowledged(fencingToken);
+            LOG.info("launch unacknowledged: machine={} token={}", machine.id, sent.token.value());
+            machine.unacknowledgedToken = sent.token;
+            listener.launchUnacknowledged(sent.token);
         }
     }
 
-    /** Records a heartbeat newer than all that is known of the worker, made after it received the launches. */
-    private void recordHeartbeat(Machine machine, Heartbeat heartbeat, List<Placement> launches) {
+    /**
+     * Records a heartbeat newer than all that is known of the worker, which it made after it received the commands.
+     *
+     * @param launches the placements of those launches that it has executed
+     */
+    private void recordHeartbeat(
+            Machine machine, Heartbeat heartbeat, List<Placement> launches, List<WorkerCommand> received) {
         boolean sameEpoch = heartbeat.epoch() == machine.epoch;
         machine.recordNewestMessage(heartbeat, context.now());
         for (Placement placement : launches) {
@@ -346,7 +378,10 @@
             placement.launchSequence = heartbeat.sequence();
         }
         if (sameEpoch && loader.isLoaded()) {
-            listener.heartbeatReceived(machine, heartbeat);
+            List<WorkerCommand> kills = new ArrayList<>(listener.heartbeatReceived(machine, heartbeat));
+            kills.removeAll(received);
+            kills.removeAll(machine.outbox);
+            machine.outbox.addAll(kills);
         }
     }
 }
--- a/src/main/java/org/beechhoist/controller/worker/FailureDetector.java
+++ b/src/main/java/org/beechhoist/controller/worker/FailureDetector.java
@@ -169,6 +169,12 @@
         return machine.up || machine.listedRunning || !machine.placements.isEmpty();
     }
 
+    /** Probes a machine whose worker may have restarted, also if earlier probes were not answered while it was down. */
+    public void probeForRestart(Machine machine) {
+        machine.unansweredProbes = Math.min(machine.unansweredProbes, MAX_UNANSWERED_PROBES - 1);
+        probe(machine);
+    }
+
     /** Requests a heartbeat from the machine, unless too many probes are in flight or unanswered. */
     private void probe(Machine machine) {
         if (machine.probeInFlight
@@ -222,7 +228,7 @@
         machine.recordAnswer(context.now());
         if (heartbeat.isNewerThan(machine.epoch, machine.sequence)) {
             machine.recordNewestMessage(heartbeat, context.now());
-        } else if (!heartbeat.isNewerThan(epoch, sequence)) {
+        } else if (machine.isRestartedBy(heartbeat, epoch, sequence)) {
             onRestart.accept(machine, heartbeat);
         }
     }
--- a/src/main/java/org/beechhoist/controller/worker/HeartbeatHandler.java
+++ b/src/main/java/org/beechhoist/controller/worker/HeartbeatHandler.java
@@ -82,15 +82,35 @@
         }
     }
 
+    /**
+     * Reconciles the task statuses in the answer to commands with the records. Returns the kills among the resulting commands
+     * that must not wait for the worker's next heartbeat: those of attempts that no record places on the machine.
+     */
+    public List<WorkerCommand> reconcileAnswer(Machine machine, Heartbeat heartbeat) {
+        return reconcile(machine, heartbeat, false).stream()
+                .filter(c -> c.verb() == WorkerCommand.Verb.KILL && !isPlaced(machine, c))
+                .toList();
+    }
+
+    private static boolean isPlaced(Machine machine, WorkerCommand command) {
+        Placement placement = machine.placements.get(command.task());
+        return placement != null && placement.attempt == command.attempt();
+    }
+
     /**
      * Reconciles the task statuses of a heartbeat with the records; returns the resulting commands.
      *
      * @param unsolicited whether the worker sent the heartbeat by itself; false: it is the response to a command
      */
-    public List<WorkerCommand> reconcile(Machine machine, Heartbeat heartbeat, boolean unsolicited) {
+    private List<WorkerCommand> reconcile(Machine machine, Heartbeat heartbeat, boolean unsolicited) {
         return statusReconciler.reconcile(machine, heartbeat, unsolicited);
     }
 
+    /** Returns kills of the reported attempts that no record places on the machine; none while the records are not read. */
+    public List<WorkerCommand> killsOfUnplaced(Machine machine, Heartbeat heartbeat) {
+        return loader.isLoaded() ? statusReconciler.killsOfUnplaced(machine, heartbeat) : List.of();
+    }
+
     /** Handles a worker's heartbeat and responds to it. */
     public void handle(long request, Heartbeat heartbeat) {
         if (releases.isReleased(heartbeat.machine())) {
@@ -99,8 +119,10 @@
         }
         Machine machine = clusterState.machine(heartbeat.machine());
         HeartbeatValidity validity = assessValidity(machine, heartbeat);
+        if (validity.mayBeOfRestartedWorker(heartbeat)) {
+            releases.probeForRestart(machine);
+        }
         if (!validity.mayRenewLease()) {
-            // A restarted worker also looks like this until the FailureDetector probes it.
             context.respond(request, 503, null);
             return;
         }
@@ -109,18 +131,9 @@
             recordHeartbeat(machine, heartbeat, validity);
         }
         boolean mayRenewLeases = cancellations.mayRenewLeases();
-        List<WorkerCommand> commands = new ArrayList<>();
-        if (loader.isLoaded() && validity.shouldReconcile()) {
-            commands.addAll(reconcile(machine, heartbeat, true));
-            if (mayRenewLeases) {
-                addLaunches(machine, heartbeat, commands);
-            }
-            if (wasReachable && machine.reachability.isUnreachable()) {
-                recordUnreachable(machine);
-            }
-        } else if (validity.shouldReconcile()) {
-            // These are valid regardless of the records, which are not read yet.
-            commands.addAll(killsOfCancelled(heartbeat));
+        List<WorkerCommand> commands = commandsFor(machine, heartbeat, validity, mayRenewLeases);
+        if (loader.isLoaded() && wasReachable && machine.reachability.isUnreachable()) {
+            recordUnreachable(machine);
         }
         if (mayRenewLeases) {
             machine.newestMessageAnswered = validity.shouldReconcile();
@@ -130,6 +143,23 @@
         }
     }
 
+    private List<WorkerCommand> commandsFor(
+            Machine machine, Heartbeat heartbeat, HeartbeatValidity validity, boolean mayRenewLeases) {
+        if (!loader.isLoaded()) {
+            // These are valid regardless of the records, which are not read yet.
+            return validity.shouldReconcile() ? killsOfCancelled(heartbeat) : List.of();
+        }
+        if (!validity.shouldReconcile()) {
+            // An attempt that no record places on the machine may be killed there, however old the heartbeat is.
+            return mayRenewLeases ? killsOfUnplaced(machine, heartbeat) : List.of();
+        }
+        List<WorkerCommand> commands = new ArrayList<>(reconcile(machine, heartbeat, true));
+        if (mayRenewLeases) {
+            addLaunches(machine, heartbeat, commands);
+        }
+        return commands;
+    }
+
     private HeartbeatValidity assessValidity(Machine machine, Heartbeat heartbeat) {
         boolean fresh = machine.lastHeartbeat == null
                 ? heartbeat.isNewerThan(machine.epoch, machine.sequence - 1)
--- a/src/main/java/org/beechhoist/controller/worker/HeartbeatValidity.java
+++ b/src/main/java/org/beechhoist/controller/worker/HeartbeatValidity.java
@@ -43,13 +43,23 @@
             FencingToken previousIncarnationToken,
             FencingToken firstOfTerm,
             long sinceNewestMs) {
-        if (previousIncarnationToken.value() > 0 && heartbeat.fencingToken().compareTo(previousIncarnationToken) <= 0) {
-            return PREVIOUS_INCARNATION;
+        if (!fresh) {
+            return sinceNewestMs <= WORKER_TIMEOUT_MS ? SUPERSEDED : DUPLICATE;
         }
-        if (fresh) {
-            return heartbeat.fencingToken().compareTo(firstOfTerm) >= 0 ? CURRENT_TERM : UNVERIFIED;
+        boolean hadPreviousIncarnation = !previousIncarnationToken.equals(FencingToken.NONE);
+        if (hadPreviousIncarnation && heartbeat.fencingToken().compareTo(previousIncarnationToken) <= 0) {
+            return PREVIOUS_INCARNATION;
         }
-        return sinceNewestMs <= WORKER_TIMEOUT_MS ? SUPERSEDED : DUPLICATE;
+        return heartbeat.fencingToken().compareTo(firstOfTerm) >= 0 ? CURRENT_TERM : UNVERIFIED;
+    }
+
+    /**
+     * Returns whether the worker may have restarted, which only its answer to a probe distinguishes from a copy of an early
+     * heartbeat. A restarted worker that was not sent anything yet names no token.
+     */
+    public boolean mayBeOfRestartedWorker(Heartbeat heartbeat) {
+        return this == DUPLICATE
+                || this == SUPERSEDED && heartbeat.fencingToken().equals(FencingToken.NONE);
     }
 
     /** Returns whether the response may have status 200, which renews the worker's lease. */
--- a/src/main/java/org/beechhoist/controller/worker/TaskRemoval.java
+++ b/src/main/java/org/beechhoist/controller/worker/TaskRemoval.java
@@ -56,6 +56,7 @@
         if (job.record.live.remove(placement.task.index(), placement) && !placement.committed) {
             job.uncommittedPlacements--;
         }
+        recordIfUnfinished(job, placement);
         if (job.spec().isGang() && !job.record.done.contains(placement.task.index())) {
             job.record.live.values().forEach(eviction::evictGangMember);
         }
@@ -64,6 +65,12 @@
         clusterState.requestReplan();
     }
 
+    private static void recordIfUnfinished(Job job, Placement placement) {
+        if (!job.record.done.contains(placement.task.index())) {
+            job.recordUnfinished(placement);
+        }
+    }
+
     /** Removes a machine, which the cloud has confirmed to be gone, with all its tasks. */
     public void removeMachine(MachineId id) {
         Machine machine = clusterState.removeMachine(id);
@@ -89,6 +96,7 @@
                         machine.id,
                         cause);
                 job.record.live.remove(placement.task.index());
+                recordIfUnfinished(job, placement);
                 lossTracker.recordTaskLost(job, placement);
                 eviction.recordTaskLost(placement);
                 job.terminations.remove(placement);
--- a/src/main/java/org/beechhoist/controller/worker/TaskStatusReconciler.java
+++ b/src/main/java/org/beechhoist/controller/worker/TaskStatusReconciler.java
@@ -101,6 +101,20 @@
                 : commands;
     }
 
+    /** Returns kills of the reported attempts that no record places on the machine; changes nothing. */
+    List<WorkerCommand> killsOfUnplaced(Machine machine, Heartbeat heartbeat) {
+        List<WorkerCommand> kills = new ArrayList<>();
+        for (Heartbeat.TaskStatus status : heartbeat.tasks()) {
+            Reconciliation.RecordedState recorded = recordedState(machine, status);
+            Reconciliation.Decision decision = Reconciliation.decide(
+                    recorded, Reconciliation.ReportedState.of(status), AbsenceEvidence.NONE, false);
+            if (!isPlacedHere(recorded) && decision == Reconciliation.Decision.KILL) {
+                handleUnknownTask(machine, status, decision, kills);
+            }
+        }
+        return kills;
+    }
+
     /**
      * Returns the oldest token with which the worker refuses every copy of the launch of an attempt.
      *
--- a/src/main/java/org/beechhoist/store/Placement.java
+++ b/src/main/java/org/beechhoist/store/Placement.java
@@ -48,6 +48,11 @@
     /** The part of that for fetching the image. */
     public long fetchMs;
 
+    /** Returns the newest token that a direct launch of it may have carried; none: there was none. */
+    public FencingToken newestLaunchToken() {
+        return directLaunchToken.compareTo(evidenceFrom) >= 0 ? directLaunchToken : evidenceFrom;
+    }
+
     /** A placement that is not committed yet. */
     public Placement(TaskId task, long attempt, MachineId machine) {
         this.task = task;
--- a/src/test/java/org/beechhoist/sim/CallCopies.java
+++ b/src/test/java/org/beechhoist/sim/CallCopies.java
@@ -1,8 +1,10 @@
 package org.beechhoist.sim;
 
 import com.fasterxml.jackson.databind.JsonNode;
+import java.util.ArrayList;
 import java.util.EnumMap;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.SplittableRandom;
 import java.util.TreeMap;
@@ -31,9 +33,25 @@
     /** How long after a segment was overwritten a copy of the transaction that wrote its older content arrives. */
     private static final long AFTER_OVERWRITE_MS = 50;
 
-    /** The launches that one worker has carried out, by attempt, until it has forgotten them. */
+    /** How long after a restarted worker has heard of the leader copies of what its machine was sent before arrive. */
+    private static final long[] AFTER_RESTART_MS = {10, 1000, 20_000, 90_000};
+
+    /** How long after its machine is back, and before the worker has sent anything. */
+    private static final long BEFORE_FIRST_HEARTBEAT_MS = 20;
+
+    /** The launches that one worker has carried out. */
     static final class WorkerLaunches {
+        /** By attempt, until the worker has forgotten it. */
         private final Map<String, Runnable> callsByAttempt = new HashMap<>();
+        /** Those of all workers that the machine has had, to whichever it has when a copy arrives. */
+        private final List<Runnable> callsToMachine = new ArrayList<>();
+
+        /** The launches of the worker that follows on the same machine. */
+        WorkerLaunches ofNextWorker() {
+            WorkerLaunches next = new WorkerLaunches();
+            next.callsToMachine.addAll(callsToMachine);
+            return next;
+        }
     }
 
     private final World world;
@@ -42,6 +60,13 @@
     /** The share of launches of which a copy arrives after the worker has forgotten the attempt, once after each delay. */
     double afterForget;
 
+    /** The share of a machine's launches of which copies reach its restarted worker, once after each delay. */
+    double afterRestart;
+    /** The share of which a copy arrives before the restarted worker has sent anything. */
+    double beforeFirstHeartbeat;
+
+    int arrivedAfterRestart;
+
     private final Map<String, Runnable> transactionsBySegment = new HashMap<>();
     /** Keys that copies of transactions have written, by prefix. */
     final Map<String, Integer> writtenAgain = new TreeMap<>();
@@ -104,12 +129,45 @@
         }
     }
 
-    /** A worker has carried out direct commands. */
-    void commandsCarriedOut(WorkerLaunches launches, JsonNode body, Runnable copy) {
+    /**
+     * A worker has carried out direct commands.
+     *
+     * @param copy delivers them once more to this worker
+     * @param copyToMachine delivers them once more to whichever worker the machine then has
+     */
+    void commandsCarriedOut(WorkerLaunches launches, JsonNode body, Runnable copy, Runnable copyToMachine) {
         carriedOut(Kind.COMMAND, copy);
+        boolean launched = false;
         for (JsonNode command : body.path("orders")) {
             if (command.path("verb").asText().equals("launch")) {
                 launches.callsByAttempt.put(attempt(command), copy);
+                launched = true;
+            }
+        }
+        if (launched) {
+            launches.callsToMachine.add(copyToMachine);
+        }
+    }
+
+    /** A machine is back with a worker that knows nothing. */
+    void machineBack(WorkerLaunches before) {
+        deliverToRestarted(before, beforeFirstHeartbeat, BEFORE_FIRST_HEARTBEAT_MS);
+    }
+
+    /** A restarted worker has heard of the leader for the first time. */
+    void restartedWorkerReached(WorkerLaunches before) {
+        for (long delayMs : AFTER_RESTART_MS) {
+            deliverToRestarted(before, afterRestart, delayMs);
+        }
+    }
+
+    private void deliverToRestarted(WorkerLaunches before, double share, long delayMs) {
+        for (Runnable call : share == 0 ? List.<Runnable>of() : before.callsToMachine) {
+            if (random.nextDouble() < share) {
+                world.later(delayMs, () -> {
+                    arrivedAfterRestart++;
+                    call.run();
+                });
             }
         }
     }
--- a/src/test/java/org/beechhoist/sim/FaultsTrial.java
+++ b/src/test/java/org/beechhoist/sim/FaultsTrial.java
@@ -107,6 +107,7 @@
         w.callCopies.setShareOfAll(0.1);
         w.callCopies.setShare(CallCopies.Kind.COMMAND, 1);
         w.callCopies.afterForget = 1;
+        w.callCopies.afterRestart = 1;
         int[] most = new int[1];
         w.every(5000, () -> most[0] = Math.max(most[0], w.machinesUp()));
         long[] unled = new long[2];
--- a/src/test/java/org/beechhoist/sim/SimulationTest.java
+++ b/src/test/java/org/beechhoist/sim/SimulationTest.java
@@ -30,6 +30,7 @@
         CLOUD_OUTAGE,
         PEERS_CUT,
         BURST,
+        MACHINES_BACK_AT_ONCE,
         EVERYTHING
     }
 
@@ -263,6 +264,7 @@
         });
         w.callCopies.setShareOfAll(COPIED_SHARE);
         w.callCopies.afterForget = 1;
+        w.callCopies.afterRestart = 1;
         if (all || troubles.contains(Trouble.LATE_COMMITS)) {
             w.stateTrouble = 0.03;
         }
@@ -338,6 +340,10 @@
             case CUTS -> w.cutMachine(w.random.nextInt(3000, 40_000));
             case HANGS -> w.hangMachine(w.random.nextInt(3000, 40_000));
             case LOSSES -> w.loseMachine();
+            case MACHINES_BACK_AT_ONCE -> {
+                w.restartMachine();
+                w.later(1500, w::restartMachine);
+            }
             case CLOUD_OUTAGE -> w.cloudOutage(15_000);
             case PEERS_CUT -> {
                 w.cutPeers(15_000);
--- a/src/test/java/org/beechhoist/sim/World.java
+++ b/src/test/java/org/beechhoist/sim/World.java
@@ -55,6 +55,16 @@
         private long nextReport;
         private final Map<SimulatedController, List<Runnable>> held = new LinkedHashMap<>();
         private CallCopies.WorkerLaunches launches = new CallCopies.WorkerLaunches();
+        /** The launches of the workers before, until the restarted one has heard of the leader. */
+        private CallCopies.WorkerLaunches launchesBefore;
+
+        /** Its worker has carried out what a leader says now. */
+        void reached() {
+            if (launchesBefore != null) {
+                callCopies.restartedWorkerReached(launchesBefore);
+                launchesBefore = null;
+            }
+        }
 
         void hold(SimulatedController with, Runnable r) {
             held.computeIfAbsent(with, k -> new ArrayList<>()).add(r);
@@ -543,8 +553,12 @@
                 }
                 if (!show && r.status() == 200) {
                     Worker receiver = m.worker;
+                    m.reached();
                     callCopies.commandsCarriedOut(
-                            m.launches, c.body(), () -> copyCommands(from, m, receiver, c.body()));
+                            m.launches,
+                            c.body(),
+                            () -> copyCommands(from, m, receiver, c.body()),
+                            () -> copyCommandsToMachine(from, m, c.body()));
                 }
                 if (!lost) {
                     JsonNode body = copy(r.body());
@@ -570,7 +584,14 @@
         });
     }
 
-    /** A copy arrives; it is not delivered to a restarted worker, which refuses nothing before it hears a token. */
+    /** A copy arrives at whichever worker the machine has, but not between a restart and what the leader says next. */
+    private void copyCommandsToMachine(SimulatedController from, Machine m, JsonNode body) {
+        if (m.launchesBefore == null || callCopies.beforeFirstHeartbeat > 0) {
+            copyCommands(from, m, m.worker, body);
+        }
+    }
+
+    /** A copy arrives, if the machine still has this worker. */
     private void copyCommands(SimulatedController from, Machine m, Worker receiver, JsonNode body) {
         Runnable deliver = () -> {
             if (!m.gone && m.worker == receiver) {
@@ -682,9 +703,15 @@
     /** A machine stops and is back at once, with its name and address and a worker that knows nothing. */
     String restartMachine() {
         Machine m = any();
-        if (m == null) {
-            return null;
-        }
+        return m == null ? null : restart(m);
+    }
+
+    /** The named machine does. */
+    void restartMachine(String host) {
+        restart(machines.get(host));
+    }
+
+    private String restart(Machine m) {
         for (TaskId t : m.worker.onMachine(now)) {
             toll.ended(t, Worker.End.GONE);
         }
@@ -695,8 +722,10 @@
         m.reporting = false;
         m.life++;
         m.nextReport = now + 100;
-        m.launches = new CallCopies.WorkerLaunches();
+        m.launchesBefore = m.launches;
+        m.launches = m.launches.ofNextWorker();
         m.held.clear();
+        callCopies.machineBack(m.launchesBefore);
         return w.name;
     }
 
@@ -773,6 +802,7 @@
             m.reporting = false;
             if (a != null && a.status() == 200) {
                 m.worker.answered(now, sent, shift, copy(a.body()));
+                m.reached();
                 callCopies.responseCarriedOut(m.launches, heartbeat, a.body());
             } else {
                 JsonNode to = a == null || a.body() == null ? null : a.body().get("foreman");
