Integers of the protocol are read, compared and written at their full 64 bits

Cause: Codec.wholeNumber read them by way of the reader of amounts, which refuses what is above 10^12; from 2^63 on they would have been compared as negative and written as CBOR big numbers. Evidence: the state service answers 200 to all, and the nodes log "unexpected answer of the state service", which now says why (cause="ledgerRev: out of range").

Fix: Codec.unsignedNumber and putUnsigned for revisions, versions, lease ids, tokens, epochs, sequence numbers and attempts; Revision, FencingToken and the new LeaseId compare as unsigned; CBOR's unsigned integers are written where the library would write binary data.

CodecTest's new cases use methods that are new.

--- a/src/main/java/org/beechhoist/controller/ScaleOutPolicy.java
+++ b/src/main/java/org/beechhoist/controller/ScaleOutPolicy.java
@@ -225,7 +225,7 @@
 
     private String nextRentalName() {
         sequence++;
-        return "r-" + fencingToken.value() + "-" + sequence;
+        return "r-" + fencingToken.text() + "-" + sequence;
     }
 
     /**
--- a/src/main/java/org/beechhoist/controller/SharedRecordReads.java
+++ b/src/main/java/org/beechhoist/controller/SharedRecordReads.java
@@ -111,7 +111,7 @@
                 waiting.add(read);
             }
         }
-        out.forEach(w -> w.then.accept(new ReadResult(true, items.get(JobRecord.openKey(w.jobId)))));
+        out.forEach(w -> w.then.accept(ReadResult.of(items.get(JobRecord.openKey(w.jobId)))));
     }
 
     private void refuseExpired() {
--- a/src/main/java/org/beechhoist/controller/WorkerRestartHandler.java
+++ b/src/main/java/org/beechhoist/controller/WorkerRestartHandler.java
@@ -60,8 +60,8 @@
         LOG.info(
                 "worker restarted: machine={} epoch={} sequence={}",
                 machine.id,
-                heartbeat.epoch(),
-                heartbeat.sequence());
+                Long.toUnsignedString(heartbeat.epoch()),
+                Long.toUnsignedString(heartbeat.sequence()));
         machine.recordNewestMessage(heartbeat, context.now());
         machine.epochFirstSeenAt = context.now();
         machine.lastHeartbeat = null;
--- a/src/main/java/org/beechhoist/controller/leadership/LeaderElection.java
+++ b/src/main/java/org/beechhoist/controller/leadership/LeaderElection.java
@@ -10,6 +10,7 @@
 import org.beechhoist.store.Transaction;
 import org.beechhoist.wire.CallResult;
 import org.beechhoist.wire.FencingToken;
+import org.beechhoist.wire.LeaseId;
 import org.beechhoist.wire.MonotonicTime;
 import org.beechhoist.wire.Revision;
 import org.slf4j.Logger;
@@ -56,7 +57,7 @@
     private final long ttlMs;
     private final Listener listener;
     private String leader;
-    private long lease;
+    private LeaseId lease = LeaseId.NONE;
     private boolean isLeading;
     private FencingToken fencingToken = FencingToken.NONE;
     private FencingToken firstFencingToken = FencingToken.NONE;
@@ -158,11 +159,11 @@
     /** Reads whether the key is still held by this term's lease; if so, its newest revision becomes the fencing token. */
     public void readKeyOwnership(Consumer<KeyOwnership> then) {
         requests.takeOrOverdraw(context.now(), 1);
-        long held = lease;
+        LeaseId held = lease;
         store.get(LEADER_KEY, read -> {
-            if (!read.answered() || !isLeading || held != lease) {
+            if (!read.answered() || !isLeading || !held.equals(lease)) {
                 then.accept(KeyOwnership.UNKNOWN);
-            } else if (read.item() == null || read.item().lease() != held) {
+            } else if (read.item() == null || !read.item().lease().equals(held)) {
                 then.accept(KeyOwnership.LOST);
             } else {
                 adoptToken(read.item().version());
@@ -277,7 +278,7 @@
         MonotonicTime sent = context.now();
         requests.takeOrOverdraw(context.now(), 2);
         store.grantLease(ttlMs, hold -> {
-            if (expectedRound != round || hold == 0) {
+            if (expectedRound != round || hold.equals(LeaseId.NONE)) {
                 readKeyLater(500, expectedRound);
                 return;
             }
@@ -299,14 +300,14 @@
         });
     }
 
-    private void becomeLeader(long hold, Revision revision, MonotonicTime sent) {
+    private void becomeLeader(LeaseId hold, Revision revision, MonotonicTime sent) {
         lease = hold;
         isLeading = true;
         fencingToken = new FencingToken(revision.value());
         firstFencingToken = fencingToken;
         leaseValidUntil = MonotonicTime.ZERO;
         extendValidity(sent);
-        LOG.info("leadership won: node={} token={}", node, fencingToken.value());
+        LOG.info("leadership won: node={} token={}", node, fencingToken.text());
         long expectedRound = ++round;
         context.schedule(ttlMs / 5, () -> extendLease(expectedRound));
         listener.leadershipWon(fencingToken);
@@ -356,7 +357,7 @@
         if (!isLeading) {
             return;
         }
-        LOG.info("leadership lost: node={} token={} cause={}", node, fencingToken.value(), cause);
+        LOG.info("leadership lost: node={} token={} cause={}", node, fencingToken.text(), cause);
         isLeading = false;
         leader = null;
         store.revokeLease(lease);
--- a/src/main/java/org/beechhoist/controller/state/StateLoader.java
+++ b/src/main/java/org/beechhoist/controller/state/StateLoader.java
@@ -231,7 +231,7 @@
                 "state loaded: openJobs={} logSegments={} revision={}",
                 clusterState.jobs().size(),
                 changeLog.segmentCount(),
-                start.value());
+                start.text());
         cancellations.markCompleteAsOf(requestedAt);
         watch(++watchEpoch, start);
         listener.stateLoaded();
--- a/src/main/java/org/beechhoist/controller/state/TransactionCommitter.java
+++ b/src/main/java/org/beechhoist/controller/state/TransactionCommitter.java
@@ -17,6 +17,7 @@
 import org.beechhoist.store.Transaction;
 import org.beechhoist.wire.FencingToken;
 import org.beechhoist.wire.JobId;
+import org.beechhoist.wire.LeaseId;
 import org.beechhoist.wire.MonotonicTime;
 import org.beechhoist.wire.Revision;
 import org.slf4j.Logger;
@@ -316,7 +317,7 @@
             case UNKNOWN -> {
                 LOG.info(
                         "commit result unknown, rewriting the leader key: token={} jobs={}",
-                        election.fencingToken().value(),
+                        election.fencingToken().text(),
                         batch.writes().size());
                 unknownCommits.resolve();
             }
@@ -331,7 +332,7 @@
     private void applyCommitted(CommitResult commit, boolean rotating, WriteBatch batch, List<Placement> placements) {
         if (rotating) {
             election.adoptToken(commit.revision());
-            LOG.info("token rotated: token={}", election.fencingToken().value());
+            LOG.info("token rotated: token={}", election.fencingToken().text());
             listener.tokenRotated();
         }
         batch.applyCommitted(commit.revision());
@@ -355,11 +356,11 @@
             JsonNode state = job.record.finalStateNode(job.finalState());
             if (write.mode == WriteBatch.WriteMode.FINAL_STATE_IN_PLACE) {
                 loader.addMisplacedFinalState(
-                        new StoreClient.KeyValue(JobRecord.openKey(job.id()), state, revision, 0));
+                        new StoreClient.KeyValue(JobRecord.openKey(job.id()), state, revision, LeaseId.NONE));
             }
             clusterState.markEnded(job);
             listener.jobEnded(job, state);
-            LOG.info("job ended: job={} state={} revision={}", job.id(), job.finalState(), revision.value());
+            LOG.info("job ended: job={} state={} revision={}", job.id(), job.finalState(), revision.text());
             return;
         }
         if (write.mode == WriteBatch.WriteMode.RECORD) {
--- a/src/main/java/org/beechhoist/controller/worker/AbsenceEvidence.java
+++ b/src/main/java/org/beechhoist/controller/worker/AbsenceEvidence.java
@@ -50,7 +50,7 @@
         if (!launch.maybeSent) {
             return NONE; // not launched yet
         }
-        if (launch.epoch > 0 && heartbeat.epoch() > launch.epoch) {
+        if (launch.epoch != 0 && Long.compareUnsigned(heartbeat.epoch(), launch.epoch) > 0) {
             return NEW_EPOCH;
         }
         boolean madeAfterAllCommands = pending.noneExecutableAfter(heartbeat.fencingToken())
--- a/src/main/java/org/beechhoist/controller/worker/CancellationEnforcer.java
+++ b/src/main/java/org/beechhoist/controller/worker/CancellationEnforcer.java
@@ -133,7 +133,7 @@
             LOG.info(
                     "launches fenced off: job={} token={} cause=\"job cancelled while a launch has no answer\"",
                     fence.job,
-                    dispatcher.fencingToken().value());
+                    dispatcher.fencingToken().text());
             dispatcher.killUnacknowledgedLaunches(job);
             context.schedule(UNACKNOWLEDGED_KILL_INTERVAL_MS, () -> fenceLaunches(fence));
         } else {
--- a/src/main/java/org/beechhoist/controller/worker/CommandDispatcher.java
+++ b/src/main/java/org/beechhoist/controller/worker/CommandDispatcher.java
@@ -1,5 +1,8 @@
 package org.beechhoist.controller.worker;
 
+import static org.beechhoist.wire.ProtocolFields.EPOCH;
+import static org.beechhoist.wire.ProtocolFields.FENCING_TOKEN;
+
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.util.ArrayList;
 import java.util.List;
@@ -269,11 +272,12 @@
         LOG.info(
                 "commands sent: machine={} token={} epoch={} commands={} launches={}",
                 machine.id,
-                sent.token.value(),
-                sent.epoch,
+                sent.token.text(),
+                Long.toUnsignedString(sent.epoch),
                 commands.size(),
                 attempts(launches));
-        ObjectNode body = Codec.map().put("baton", sent.token.value()).put("shift", sent.epoch);
+        ObjectNode body = Codec.putUnsigned(Codec.map(), FENCING_TOKEN, sent.token.value());
+        Codec.putUnsigned(body, EPOCH, sent.epoch);
         body.set("orders", WorkerCommand.toNode(commands));
         machine.commandsInFlight++;
         long term = clusterState.term();
@@ -358,7 +362,7 @@
             sent.launches.forEach(placement -> placement.launchSent = false);
         } else if (!(result.hasStatus(200) && answered) && !sent.launches.isEmpty()) {
             // The launch may be executed minutes late, until the worker has seen a higher token.
-            LOG.info("launch unacknowledged: machine={} token={}", machine.id, sent.token.value());
+            LOG.info("launch unacknowledged: machine={} token={}", machine.id, sent.token.text());
             machine.unacknowledgedToken = sent.token;
             listener.launchUnacknowledged(sent.token);
         }
--- a/src/main/java/org/beechhoist/controller/worker/HeartbeatHandler.java
+++ b/src/main/java/org/beechhoist/controller/worker/HeartbeatHandler.java
@@ -1,5 +1,7 @@
 package org.beechhoist.controller.worker;
 
+import static org.beechhoist.wire.ProtocolFields.FENCING_TOKEN;
+
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.util.ArrayList;
 import java.util.List;
@@ -162,7 +164,7 @@
 
     private HeartbeatValidity assessValidity(Machine machine, Heartbeat heartbeat) {
         boolean fresh = machine.lastHeartbeat == null
-                ? heartbeat.isNewerThan(machine.epoch, machine.sequence - 1)
+                ? heartbeat.isNotOlderThan(machine.epoch, machine.sequence)
                 : heartbeat.isNewerThan(machine.epoch, machine.sequence);
         return HeartbeatValidity.of(
                 heartbeat,
@@ -183,7 +185,8 @@
     /** Responds with the commands and renews the worker's lease. */
     private void answer(long request, Machine machine, List<WorkerCommand> commands) {
         machine.lastAnsweredAt = context.now();
-        ObjectNode body = Codec.map().put("baton", election.fencingToken().value());
+        ObjectNode body = Codec.putUnsigned(
+                Codec.map(), FENCING_TOKEN, election.fencingToken().value());
         body.set("orders", WorkerCommand.toNode(commands));
         MonotonicTime until = cancellations.leasesRenewableUntil();
         context.respond(
@@ -233,7 +236,7 @@
         machine.spot = heartbeat.spot();
         boolean newEpoch = machine.lastHeartbeat == null
                 ? heartbeat.epoch() != machine.imagesEpoch
-                : heartbeat.epoch() > machine.epoch;
+                : Long.compareUnsigned(heartbeat.epoch(), machine.epoch) > 0;
         if (newEpoch) {
             machine.images.clear();
         }
--- a/src/main/java/org/beechhoist/controller/worker/TaskStatusReconciler.java
+++ b/src/main/java/org/beechhoist/controller/worker/TaskStatusReconciler.java
@@ -144,10 +144,11 @@
                     ? Reconciliation.RecordedState.DONE
                     : Reconciliation.RecordedState.NOT_PLACED;
         }
-        if (placement.attempt > status.attempt()) {
+        int comparison = Long.compareUnsigned(placement.attempt, status.attempt());
+        if (comparison > 0) {
             return Reconciliation.RecordedState.PLACED_NEWER_ATTEMPT;
         }
-        if (placement.attempt < status.attempt() || !placement.machine.equals(machine.id)) {
+        if (comparison < 0 || !placement.machine.equals(machine.id)) {
             return Reconciliation.RecordedState.PLACED_INCONSISTENT;
         }
         return job.isCancelled() ? Reconciliation.RecordedState.CANCELLED : Reconciliation.RecordedState.PLACED;
@@ -180,7 +181,7 @@
             LOG.info(
                     "exited attempts forgotten: machine={} token={} epoch={} forgotten={} kept={}",
                     machine.id,
-                    heartbeat.fencingToken().value(),
+                    heartbeat.fencingToken().text(),
                     heartbeat.epoch(),
                     forgotten,
                     machine.exitedAttempts.size() - forgotten);
--- a/src/main/java/org/beechhoist/standin/StateService.java
+++ b/src/main/java/org/beechhoist/standin/StateService.java
@@ -51,6 +51,15 @@
         this.kept = kept;
     }
 
+    /**
+     * Sets the numbers that the first change and the first lease follow, as unsigned integers; for a service that has not been
+     * called yet.
+     */
+    public void countFrom(long lastRevision, long lastLease) {
+        revision = lastRevision;
+        nextLease = lastLease + 1;
+    }
+
     /** Begins or ends an outage; at its end every lease has its full time again. */
     public void outage(long nowMs, boolean begins) {
         tick(nowMs);
@@ -111,8 +120,16 @@
         due.forEach(w -> w.then.accept(since(w.prefix, w.after)));
     }
 
+    private static boolean isAfter(long version, long other) {
+        return Long.compareUnsigned(version, other) > 0;
+    }
+
+    private ObjectNode revisionNode() {
+        return Codec.putUnsigned(Codec.map(), "ledgerRev", revision);
+    }
+
     private boolean changed(Watch watch) {
-        for (int i = log.size() - 1; i >= 0 && log.get(i).version > watch.after; i--) {
+        for (int i = log.size() - 1; i >= 0 && isAfter(log.get(i).version, watch.after); i--) {
             if (log.get(i).key.startsWith(watch.prefix)) {
                 return true;
             }
@@ -121,13 +138,12 @@
     }
 
     private Reply since(String prefix, long after) {
-        ObjectNode out = Codec.map().put("ledgerRev", revision);
+        ObjectNode out = revisionNode();
         ArrayNode list = out.putArray("log");
         for (Change change : log) {
-            if (change.version > after && change.key.startsWith(prefix)) {
-                ObjectNode node = list.addObject()
-                        .put(change.data == null ? "remove" : "put", change.key)
-                        .put("lastTouch", change.version);
+            if (isAfter(change.version, after) && change.key.startsWith(prefix)) {
+                ObjectNode node = list.addObject().put(change.data == null ? "remove" : "put", change.key);
+                Codec.putUnsigned(node, "lastTouch", change.version);
                 if (change.data != null) {
                     node.set("data", change.data);
                 }
@@ -162,7 +178,7 @@
             lease.ttlMs = body.path("ttlMs").asLong();
             lease.endsMs = nowMs + lease.ttlMs;
             leases.put(nextLease, lease);
-            reply = new Reply(200, Codec.map().put("hold", nextLease++));
+            reply = new Reply(200, Codec.putUnsigned(Codec.map(), "hold", nextLease++));
         } else if (path.startsWith("/leases/")) {
             reply = lease(nowMs, method, path.substring("/leases/".length()));
         } else {
@@ -184,8 +200,8 @@
     }
 
     private void watch(long nowMs, Map<String, String> query, Consumer<Reply> then) {
-        long after = Long.parseLong(query.getOrDefault("after", "0"));
-        if (!log.isEmpty() && log.size() >= kept * 9 / 10 && log.get(0).version > after + 1) {
+        long after = Long.parseUnsignedLong(query.getOrDefault("after", "0"));
+        if (!log.isEmpty() && log.size() >= kept * 9 / 10 && isAfter(log.get(0).version, after + 1)) {
             then.accept(Reply.error(410, "too old"));
             return;
         }
@@ -200,7 +216,7 @@
 
     private Reply lease(long nowMs, String method, String rest) {
         boolean extend = rest.endsWith("/extend");
-        long id = Long.parseLong(extend ? rest.substring(0, rest.length() - "/extend".length()) : rest);
+        long id = Long.parseUnsignedLong(extend ? rest.substring(0, rest.length() - "/extend".length()) : rest);
         Lease lease = leases.get(id);
         if (lease == null) {
             return Reply.error(404, "no such lease");
@@ -210,22 +226,22 @@
         } else if (method.equals("DELETE")) {
             end(id);
         }
-        return new Reply(200, Codec.map().put("hold", id));
+        return new Reply(200, Codec.putUnsigned(Codec.map(), "hold", id));
     }
 
     private Reply get(String key) {
         Value value = values.get(key);
         if (value == null) {
-            return new Reply(404, Codec.map().put("ledgerRev", revision));
+            return new Reply(404, revisionNode());
         }
         return new Reply(200, item(key, value));
     }
 
     private static ObjectNode item(String key, Value value) {
-        ObjectNode node = Codec.map().put("path", key).put("lastTouch", value.version);
+        ObjectNode node = Codec.putUnsigned(Codec.map().put("path", key), "lastTouch", value.version);
         node.set("data", value.data);
         if (value.lease != 0) {
-            node.put("hold", value.lease);
+            Codec.putUnsigned(node, "hold", value.lease);
         }
         return node;
     }
@@ -253,7 +269,7 @@
             }
             items.add(node);
         }
-        return new Reply(200, out.put("more", more).put("ledgerRev", revision));
+        return new Reply(200, Codec.putUnsigned(out.put("more", more), "ledgerRev", revision));
     }
 
     private Reply commit(JsonNode body) {
@@ -277,7 +293,7 @@
             }
         }
         if (!failed.isEmpty()) {
-            ObjectNode node = Codec.map().put("ledgerRev", revision);
+            ObjectNode node = revisionNode();
             node.set("failed", failed);
             return new Reply(409, node);
         }
@@ -294,6 +310,6 @@
                 delete(op.path("remove").asText());
             }
         }
-        return new Reply(200, Codec.map().put("ledgerRev", revision));
+        return new Reply(200, revisionNode());
     }
 }
--- a/src/main/java/org/beechhoist/standin/Worker.java
+++ b/src/main/java/org/beechhoist/standin/Worker.java
@@ -295,8 +295,8 @@
                 .put("loaner", spot)
                 .put("shift", shift)
                 .put("counter", ++counter)
-                .put("baton", baton)
                 .put("warningS", noticeS);
+        Codec.putUnsigned(node, "baton", baton);
         ArrayNode list = node.putArray("pieces");
         for (Task task : tasks.values()) {
             ObjectNode piece = list.addObject()
@@ -316,10 +316,10 @@
     /** A 200 to the report that was sent at {@code sentMs} in session {@code sentShift}. */
     public void answered(long nowMs, long sentMs, long sentShift, JsonNode body) {
         long token = body.path("baton").asLong(0);
-        if (sentShift != shift || token < baton || token == 0) {
+        if (sentShift != shift || Long.compareUnsigned(token, baton) < 0 || token == 0) {
             return;
         }
-        changed |= token > baton;
+        changed |= token != baton;
         baton = token;
         leaseFrom = Math.max(leaseFrom, sentMs);
         execute(nowMs, body.path("orders"));
@@ -332,10 +332,10 @@
             return Reply.error(400, "baton or shift is missing");
         }
         long token = body.get("baton").asLong();
-        if (token < baton || body.get("shift").asLong() != shift) {
+        if (Long.compareUnsigned(token, baton) < 0 || body.get("shift").asLong() != shift) {
             return new Reply(409, report());
         }
-        changed |= token > baton;
+        changed |= token != baton;
         baton = token;
         execute(nowMs, body.path("orders"));
         boolean still = changed;
--- a/src/main/java/org/beechhoist/store/FleetSnapshot.java
+++ b/src/main/java/org/beechhoist/store/FleetSnapshot.java
@@ -105,7 +105,7 @@
                     .add(wordIndex(words, machine.type))
                     .add(wordIndex(words, machine.zone))
                     .add(machine.spot ? 1 : 0)
-                    .add(machine.rentedWallMs / 1000 + ":" + machine.epoch);
+                    .add(machine.rentedWallMs / 1000 + ":" + Long.toUnsignedString(machine.epoch));
             ArrayNode images = rows.addArray();
             // The same image may have another size in another job's words.
             machine.images.forEach((image, gb) -> images.add(wordIndex(words, image + SIZE + gb)));
@@ -161,7 +161,7 @@
                     word(words, rows.get(first + 2)),
                     word(words, rows.get(first + 3)),
                     rows.get(first + 4).asInt() == 1,
-                    Long.parseLong(times[1]),
+                    Long.parseUnsignedLong(times[1]),
                     1000 * Long.parseLong(times[0]),
                     images);
         } catch (NumberFormatException | IndexOutOfBoundsException e) {
--- a/src/main/java/org/beechhoist/store/StoreClient.java
+++ b/src/main/java/org/beechhoist/store/StoreClient.java
@@ -14,6 +14,7 @@
 import java.util.function.Consumer;
 import org.beechhoist.wire.CallResult;
 import org.beechhoist.wire.Codec;
+import org.beechhoist.wire.LeaseId;
 import org.beechhoist.wire.MalformedMessageException;
 import org.beechhoist.wire.Revision;
 import org.beechhoist.wire.ServiceCalls;
@@ -27,17 +28,30 @@
     private static final Logger LOG = LoggerFactory.getLogger(StoreClient.class);
     private static final long TIMEOUT_MS = 2000;
 
-    /** A key with its value, its version, and the lease that holds it (0 for none). */
-    public record KeyValue(String key, JsonNode value, Revision version, long lease) {}
+    /** A key with its value, its version, and the lease that holds it. */
+    public record KeyValue(String key, JsonNode value, Revision version, LeaseId lease) {}
 
-    /** The result of a read: {@code item} is null where the key is absent; nothing is known where {@code answered} is false. */
-    public record ReadResult(boolean answered, KeyValue item) {
+    /**
+     * The result of a read: {@code item} is null where the key is absent; nothing is known where {@code answered} is false.
+     *
+     * @param malformed what is wrong with the answer, or null
+     */
+    public record ReadResult(boolean answered, KeyValue item, String malformed) {
         /** No usable answer came. */
-        public static final ReadResult UNKNOWN = new ReadResult(false, null);
+        public static final ReadResult UNKNOWN = new ReadResult(false, null, null);
+
+        /** A well-formed answer; {@code item} is null where the key is absent. */
+        public static ReadResult of(KeyValue item) {
+            return new ReadResult(true, item, null);
+        }
     }
 
-    /** One page of a listing; {@code items} is null where the read failed. */
-    public record Page(List<KeyValue> items, boolean more, Revision revision) {
+    /**
+     * One page of a listing; {@code items} is null where the read failed.
+     *
+     * @param malformed what is wrong with the answer, or null
+     */
+    public record Page(List<KeyValue> items, boolean more, Revision revision, String malformed) {
         /** Whether the page could be read. */
         public boolean isOk() {
             return items != null;
@@ -48,8 +62,9 @@
      * The changes since a revision, as of {@code revision}. A removed key has a null value.
      *
      * @param status the HTTP status, 410 where the revision is too old, or 0 where no usable answer came
+     * @param malformed what is wrong with the answer, or null
      */
-    public record WatchResult(int status, List<KeyValue> changes, Revision revision) {}
+    public record WatchResult(int status, List<KeyValue> changes, Revision revision, String malformed) {}
 
     /** The result of a transaction; {@code failedKeys} are keys whose guard failed. */
     public record CommitResult(Outcome outcome, Revision revision, Set<String> failedKeys) {
@@ -76,13 +91,14 @@
         this.calls = calls;
     }
 
-    private void logUnexpected(String what, CallResult result) {
+    private void logUnexpected(String what, CallResult result, MalformedMessageException problem) {
         if (!unexpectedLogged) {
             unexpectedLogged = true;
             LOG.warn(
-                    "unexpected answer of the state service (logged once): request=\"{}\" status={}",
+                    "unexpected answer of the state service (logged once): request=\"{}\" status={} cause=\"{}\"",
                     what,
-                    result.status());
+                    result.status(),
+                    problem.getMessage());
         }
     }
 
@@ -90,8 +106,16 @@
         return new KeyValue(
                 Codec.text(node, KEY),
                 value(node),
-                new Revision(Codec.wholeNumber(node, VERSION, 0, Long.MAX_VALUE)),
-                Codec.isAbsent(node, LEASE) ? 0 : Codec.wholeNumber(node, LEASE, 0, Long.MAX_VALUE));
+                version(node),
+                Codec.isAbsent(node, LEASE) ? LeaseId.NONE : lease(node));
+    }
+
+    private static Revision version(JsonNode node) throws MalformedMessageException {
+        return new Revision(Codec.unsignedNumber(node, VERSION));
+    }
+
+    private static LeaseId lease(JsonNode node) throws MalformedMessageException {
+        return new LeaseId(Codec.unsignedNumber(node, LEASE));
     }
 
     /** The value of a key that exists: without this check, an answer that lacks it read as if the key were gone. */
@@ -103,7 +127,7 @@
     }
 
     private static Revision revision(JsonNode node) throws MalformedMessageException {
-        return new Revision(Codec.wholeNumber(node, REVISION, 0, Long.MAX_VALUE));
+        return new Revision(Codec.unsignedNumber(node, REVISION));
     }
 
     /** Reads one key. */
@@ -112,15 +136,16 @@
             ReadResult read = ReadResult.UNKNOWN;
             try {
                 if (result.isOk()) {
-                    read = new ReadResult(true, item(result.body()));
+                    read = ReadResult.of(item(result.body()));
                 } else if (result.hasStatus(404)
                         && result.body() != null
                         && result.body().has(REVISION)) {
                     // A 404 without the service's own body could come from something else on the way.
-                    read = new ReadResult(true, null);
+                    read = ReadResult.of(null);
                 }
             } catch (MalformedMessageException e) {
-                logUnexpected("a read", result);
+                logUnexpected("a read", result, e);
+                read = new ReadResult(false, null, e.getMessage());
             }
             then.accept(read);
         });
@@ -134,17 +159,18 @@
     public void list(String prefix, String after, int limit, Consumer<Page> then) {
         String path = "/store?prefix=" + prefix + (after == null ? "" : "&after=" + after) + "&limit=" + limit;
         calls.call(ServiceCalls.Target.STATE, null, "GET", path, null, 5000, result -> {
-            Page page = new Page(null, false, Revision.ABSENT);
+            Page page = new Page(null, false, Revision.ABSENT, null);
             try {
                 if (result.isOk() && result.body().path("items").isArray()) {
                     List<KeyValue> items = new ArrayList<>();
                     for (JsonNode n : result.body().get("items")) {
                         items.add(item(n));
                     }
-                    page = new Page(items, Codec.bool(result.body(), "more"), revision(result.body()));
+                    page = new Page(items, Codec.bool(result.body(), "more"), revision(result.body()), null);
                 }
             } catch (MalformedMessageException e) {
-                logUnexpected("a listing", result);
+                logUnexpected("a listing", result, e);
+                page = new Page(null, false, Revision.ABSENT, e.getMessage());
             }
             then.accept(page);
         });
@@ -184,14 +210,14 @@
                 result = lease ? CommitResult.Outcome.LEASE_EXPIRED : CommitResult.Outcome.REJECTED;
             }
         } catch (MalformedMessageException e) {
-            logUnexpected("a transaction", answer);
+            logUnexpected("a transaction", answer, e);
             result = CommitResult.Outcome.UNKNOWN;
         }
         return new CommitResult(result, revision, failed);
     }
 
-    /** Asks for a new lease; {@code then} receives its id, or 0 where none was granted. */
-    public void grantLease(long ttlMs, Consumer<Long> then) {
+    /** Asks for a new lease; {@code then} receives its id, or {@link LeaseId#NONE} where none was granted. */
+    public void grantLease(long ttlMs, Consumer<LeaseId> then) {
         calls.call(
                 ServiceCalls.Target.STATE,
                 null,
@@ -199,20 +225,33 @@
                 "/leases",
                 Codec.map().put("ttlMs", ttlMs),
                 TIMEOUT_MS,
-                result -> then.accept(
-                        result.isOk() && result.body().path(LEASE).canConvertToLong()
-                                ? result.body().get(LEASE).longValue()
-                                : 0L));
+                result -> then.accept(granted(result)));
+    }
+
+    private LeaseId granted(CallResult result) {
+        try {
+            return result.isOk() ? lease(result.body()) : LeaseId.NONE;
+        } catch (MalformedMessageException e) {
+            logUnexpected("a lease", result, e);
+            return LeaseId.NONE;
+        }
     }
 
     /** Extends a lease by its time to live. */
-    public void extendLease(long lease, Consumer<CallResult> then) {
-        calls.call(ServiceCalls.Target.STATE, null, "POST", "/leases/" + lease + "/extend", Codec.map(), 1000, then);
+    public void extendLease(LeaseId lease, Consumer<CallResult> then) {
+        calls.call(
+                ServiceCalls.Target.STATE,
+                null,
+                "POST",
+                "/leases/" + lease.text() + "/extend",
+                Codec.map(),
+                1000,
+                then);
     }
 
     /** Ends a lease, and with it the keys it holds. Nobody waits for the answer. */
-    public void revokeLease(long lease) {
-        calls.call(ServiceCalls.Target.STATE, null, "DELETE", "/leases/" + lease, null, TIMEOUT_MS, o -> {});
+    public void revokeLease(LeaseId lease) {
+        calls.call(ServiceCalls.Target.STATE, null, "DELETE", "/leases/" + lease.text(), null, TIMEOUT_MS, o -> {});
     }
 
     /**
@@ -221,10 +260,10 @@
      * @param holdMs how long the state service may wait for the first change before it answers with none
      */
     public void watch(String prefix, Revision after, long holdMs, Consumer<WatchResult> then) {
-        String path = "/changes?prefix=" + prefix + "&after=" + after.value() + "&holdMs=" + holdMs;
+        String path = "/changes?prefix=" + prefix + "&after=" + after.text() + "&holdMs=" + holdMs;
         calls.call(ServiceCalls.Target.STATE, null, "GET", path, null, holdMs + 3000, result -> {
             WatchResult out =
-                    new WatchResult(result.kind() == CallResult.Kind.ANSWERED ? result.status() : 0, null, after);
+                    new WatchResult(result.kind() == CallResult.Kind.ANSWERED ? result.status() : 0, null, after, null);
             try {
                 if (result.isOk() && result.body().path("log").isArray()) {
                     List<KeyValue> log = new ArrayList<>();
@@ -233,16 +272,16 @@
                         log.add(new KeyValue(
                                 Codec.text(node, put ? "put" : "remove"),
                                 put ? value(node) : null,
-                                new Revision(Codec.wholeNumber(node, VERSION, 0, Long.MAX_VALUE)),
-                                0));
+                                version(node),
+                                LeaseId.NONE));
                     }
-                    out = new WatchResult(200, log, revision(result.body()));
+                    out = new WatchResult(200, log, revision(result.body()), null);
                 } else if (result.hasStatus(200)) {
-                    out = new WatchResult(0, null, after);
+                    throw new MalformedMessageException("log: list expected");
                 }
             } catch (MalformedMessageException e) {
-                logUnexpected("a watch", result);
-                out = new WatchResult(0, null, after);
+                logUnexpected("a watch", result, e);
+                out = new WatchResult(0, null, after, e.getMessage());
             }
             then.accept(out);
         });
--- a/src/main/java/org/beechhoist/store/Transaction.java
+++ b/src/main/java/org/beechhoist/store/Transaction.java
@@ -9,6 +9,7 @@
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import org.beechhoist.wire.Codec;
+import org.beechhoist.wire.LeaseId;
 import org.beechhoist.wire.Revision;
 
 /** A transaction under construction. */
@@ -18,7 +19,7 @@
 
     /** Adds a condition: the key's version is this one, or the key is absent for {@link Revision#ABSENT}. */
     public Transaction guard(String key, Revision version) {
-        guards.addObject().put(KEY, key).put(VERSION, version.value());
+        Codec.putUnsigned(guards.addObject().put(KEY, key), VERSION, version.value());
         return this;
     }
 
@@ -29,8 +30,10 @@
     }
 
     /** Adds a write of a key that goes when the lease ends. */
-    public Transaction put(String key, JsonNode value, long lease) {
-        ((ObjectNode) then.addObject().put("put", key).set(VALUE, value)).put(LEASE, lease);
+    public Transaction put(String key, JsonNode value, LeaseId lease) {
+        ObjectNode put = then.addObject().put("put", key);
+        put.set(VALUE, value);
+        Codec.putUnsigned(put, LEASE, lease.value());
         return this;
     }
 
--- a/src/main/java/org/beechhoist/wire/Codec.java
+++ b/src/main/java/org/beechhoist/wire/Codec.java
@@ -7,8 +7,9 @@
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
 import com.fasterxml.jackson.databind.node.ObjectNode;
-import com.fasterxml.jackson.dataformat.cbor.CBORFactory;
 import java.io.IOException;
+import java.math.BigDecimal;
+import java.math.BigInteger;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
@@ -19,7 +20,7 @@
     public static final int MAX_BODY = 64 * 1024;
 
     private static final ObjectMapper CBOR =
-            new ObjectMapper(new CBORFactory()).enable(DeserializationFeature.FAIL_ON_TRAILING_TOKENS);
+            new ObjectMapper(new UnsignedCborFactory()).enable(DeserializationFeature.FAIL_ON_TRAILING_TOKENS);
 
     private Codec() {}
 
@@ -114,16 +115,44 @@
     /** A whole number between the bounds; counts may come as 3 or 3.0. */
     public static long wholeNumber(JsonNode node, String field, long least, long most)
             throws MalformedMessageException {
-        double number = number(node, field, 0);
-        JsonNode child = node.get(field);
-        if (number != Math.rint(number)) {
-            throw new MalformedMessageException(field + ": whole number expected");
+        BigInteger number = integer(node, field);
+        if (number.compareTo(BigInteger.valueOf(least)) < 0 || number.compareTo(BigInteger.valueOf(most)) > 0) {
+            throw new MalformedMessageException(field + ": out of range");
         }
-        long value = child.longValue();
-        if (value < least || value > most) {
+        return number.longValue();
+    }
+
+    /**
+     * An integer smaller than 2^64, as the protocol has counts, versions, tokens and attempts.
+     *
+     * @return its bits, to be read as unsigned
+     */
+    public static long unsignedNumber(JsonNode node, String field) throws MalformedMessageException {
+        BigInteger number = integer(node, field);
+        if (number.signum() < 0 || number.bitLength() > Long.SIZE) {
             throw new MalformedMessageException(field + ": out of range");
         }
-        return value;
+        return number.longValue();
+    }
+
+    /** Sets the field to an integer smaller than 2^64, given by its bits; returns the map. */
+    public static ObjectNode putUnsigned(ObjectNode node, String field, long bits) {
+        return bits >= 0 ? node.put(field, bits) : node.put(field, new BigInteger(Long.toUnsignedString(bits)));
+    }
+
+    private static BigInteger integer(JsonNode node, String field) throws MalformedMessageException {
+        JsonNode value = node.get(field);
+        if (value == null || !value.isNumber() || !Double.isFinite(value.doubleValue())) {
+            throw new MalformedMessageException(field + ": number expected");
+        }
+        if (value.isIntegralNumber()) {
+            return value.bigIntegerValue();
+        }
+        double number = value.doubleValue();
+        if (number != Math.rint(number)) {
+            throw new MalformedMessageException(field + ": whole number expected");
+        }
+        return new BigDecimal(number).toBigInteger();
     }
 
     /**
--- a/src/main/java/org/beechhoist/wire/FencingToken.java
+++ b/src/main/java/org/beechhoist/wire/FencingToken.java
@@ -3,6 +3,8 @@
 /**
  * The fencing token that workers check: the revision of the commit that made somebody leader. Workers refuse commands
  * with a token older than the newest they have seen.
+ *
+ * @param value the bits of an unsigned integer
  */
 public record FencingToken(long value) implements Comparable<FencingToken> {
     /** Older than every token. */
@@ -15,6 +17,11 @@
 
     @Override
     public int compareTo(FencingToken other) {
-        return Long.compare(value, other.value);
+        return Long.compareUnsigned(value, other.value);
+    }
+
+    /** Returns the number in digits. */
+    public String text() {
+        return Long.toUnsignedString(value);
     }
 }
--- a/src/main/java/org/beechhoist/wire/Heartbeat.java
+++ b/src/main/java/org/beechhoist/wire/Heartbeat.java
@@ -23,8 +23,8 @@
  * A worker's heartbeat with the status of its tasks: the body of {@code POST /checkin}, and of the answers to commands ({@code
  * /orders}) and probes ({@code /show}).
  *
- * @param epoch the worker's incarnation: larger after each of its leases has expired
- * @param sequence the number of this message within the epoch
+ * @param epoch the worker's incarnation: larger after each of its leases has expired; unsigned
+ * @param sequence the number of this message within the epoch; unsigned
  * @param fencingToken the newest token that the worker has seen
  * @param preemptionNoticeS how long until the cloud takes the machine back, or null without a notice
  */
@@ -39,7 +39,7 @@
         FencingToken fencingToken,
         Double preemptionNoticeS,
         List<TaskStatus> tasks) {
-    /** A task on the machine. {@code cause} is null until it exited. */
+    /** A task on the machine. {@code attempt} is unsigned, {@code cause} is null until it exited. */
     public record TaskStatus(TaskId task, long attempt, TaskState state, String cause, boolean checkpointStored) {
         /** Returns the attempt whose status this is. */
         public TaskAttempt taskAttempt() {
@@ -83,12 +83,9 @@
                 Codec.text(node, MACHINE_TYPE),
                 Codec.text(node, ZONE),
                 Codec.bool(node, SPOT),
-                Codec.wholeNumber(node, EPOCH, 0, Long.MAX_VALUE),
-                Codec.wholeNumber(node, SEQUENCE, 0, Long.MAX_VALUE),
-                new FencingToken(
-                        Codec.isAbsent(node, FENCING_TOKEN)
-                                ? 0
-                                : Codec.wholeNumber(node, FENCING_TOKEN, 0, Long.MAX_VALUE)),
+                Codec.unsignedNumber(node, EPOCH),
+                Codec.unsignedNumber(node, SEQUENCE),
+                new FencingToken(Codec.isAbsent(node, FENCING_TOKEN) ? 0 : Codec.unsignedNumber(node, FENCING_TOKEN)),
                 Codec.isAbsent(node, PREEMPTION_NOTICE_S) ? null : Codec.number(node, PREEMPTION_NOTICE_S, 0),
                 tasks);
     }
@@ -102,7 +99,7 @@
         TaskState state = parseState(Codec.text(node, TASK_STATE));
         return new TaskStatus(
                 id,
-                Codec.wholeNumber(node, ATTEMPT, 0, Long.MAX_VALUE),
+                Codec.unsignedNumber(node, ATTEMPT),
                 state,
                 Codec.isAbsent(node, EXIT_CAUSE) ? null : Codec.text(node, EXIT_CAUSE),
                 stored != null && stored.asBoolean(false));
@@ -120,6 +117,16 @@
 
     /** Whether the worker sent it after the message with this epoch and sequence number. */
     public boolean isNewerThan(long otherEpoch, long otherSequence) {
-        return epoch > otherEpoch || (epoch == otherEpoch && sequence > otherSequence);
+        return compareTo(otherEpoch, otherSequence) > 0;
+    }
+
+    /** Whether it is the message with this epoch and sequence number, or the worker sent it after that. */
+    public boolean isNotOlderThan(long otherEpoch, long otherSequence) {
+        return compareTo(otherEpoch, otherSequence) >= 0;
+    }
+
+    private int compareTo(long otherEpoch, long otherSequence) {
+        int byEpoch = Long.compareUnsigned(epoch, otherEpoch);
+        return byEpoch != 0 ? byEpoch : Long.compareUnsigned(sequence, otherSequence);
     }
 }
--- a/src/main/java/org/beechhoist/wire/ResizeRequest.java
+++ b/src/main/java/org/beechhoist/wire/ResizeRequest.java
@@ -9,9 +9,12 @@
  * null}) it is the newest when it arrives.
  */
 public record ResizeRequest(Width width, Long number) {
+    /** Leaves room for the numbers of the resizes that follow. */
+    private static final long MAX_NUMBER = 1_000_000_000_000L;
+
     /** Reads {@code {"width":4}} or {@code {"least":2,"most":16,"untilS":3600.0}}, either with {@code "number":17}. */
     public static ResizeRequest parse(JsonNode node) throws MalformedMessageException {
-        Long number = Codec.isAbsent(node, "number") ? null : Codec.wholeNumber(node, "number", 1, Long.MAX_VALUE);
+        Long number = Codec.isAbsent(node, "number") ? null : Codec.wholeNumber(node, "number", 1, MAX_NUMBER);
         if (Codec.isAbsent(node, "width")) {
             return new ResizeRequest(Width.parse(node, "width"), number);
         }
--- a/src/main/java/org/beechhoist/wire/WorkerCommand.java
+++ b/src/main/java/org/beechhoist/wire/WorkerCommand.java
@@ -46,9 +46,8 @@
         ArrayNode out = Codec.list();
         for (WorkerCommand command : commands) {
             ObjectNode node = out.addObject();
-            node.put(VERB, command.verb.name().toLowerCase(Locale.ROOT))
-                    .put(TASK, command.task.toString())
-                    .put(ATTEMPT, command.attempt);
+            node.put(VERB, command.verb.name().toLowerCase(Locale.ROOT)).put(TASK, command.task.toString());
+            Codec.putUnsigned(node, ATTEMPT, command.attempt);
             if (command.verb == Verb.KILL) {
                 node.put(GRACE_S, command.graceS);
             }
--- a/src/test/java/org/beechhoist/sim/SimulationTest.java
+++ b/src/test/java/org/beechhoist/sim/SimulationTest.java
@@ -31,9 +31,18 @@
         PEERS_CUT,
         BURST,
         MACHINES_BACK_AT_ONCE,
+        LARGE_NUMBERS,
         EVERYTHING
     }
 
+    /** The state service counts from below one of these, where a smaller type than the protocol's would end. */
+    private static final long[] LARGE_NUMBERS = {
+        1L << 31, 1L << 32, 1_000_000_000_000L, 1L << 53, Long.MIN_VALUE, -1_000_000L
+    };
+
+    /** About as many changes as a day has. */
+    private static final int CHANGES_OF_A_DAY = 2000;
+
     private static final long SEEDS = Long.getLong("sim.seeds", 2);
     private static final long ARRIVALS_MS = 150_000;
     /** The share of calls of every kind that arrive a second time. */
@@ -262,6 +271,9 @@
                 w.askForUnknown();
             }
         });
+        if (all || troubles.contains(Trouble.LARGE_NUMBERS)) {
+            w.countFrom(LARGE_NUMBERS[w.random.nextInt(LARGE_NUMBERS.length)] - w.random.nextInt(CHANGES_OF_A_DAY));
+        }
         w.callCopies.setShareOfAll(COPIED_SHARE);
         w.callCopies.afterForget = 1;
         w.callCopies.afterRestart = 1;
--- a/src/test/java/org/beechhoist/sim/World.java
+++ b/src/test/java/org/beechhoist/sim/World.java
@@ -217,6 +217,11 @@
         });
     }
 
+    /** The state service counts its changes, and its leases, on from this number, which is unsigned; before the day begins. */
+    void countFrom(long number) {
+        state.countFrom(number, number);
+    }
+
     /** True time of day. */
     long wall() {
         return wallStart + now * wallRate;
--- a/src/test/java/org/beechhoist/wire/CodecTest.java
+++ b/src/test/java/org/beechhoist/wire/CodecTest.java
@@ -170,6 +170,44 @@
         assertTrue(read > 2000, "only " + read + " read");
     }
 
+    /** Guards against the protocol's integers being cut to 10^12, or to 63 bits, where they are read or written. */
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                "0",
+                "1000000000001",
+                "9007199254740993",
+                "9223372036854775807",
+                "9223372036854775808",
+                "18446744073709551615"
+            })
+    void integersBelowTwoToThe64AreWrittenAndReadInFull(String number) throws MalformedMessageException {
+        long bits = Long.parseUnsignedLong(number);
+        byte[] body = Codec.encode(Codec.putUnsigned(Codec.map(), "n", bits).put("after", true));
+        assertTrue(body.length <= "n".length() + "after".length() + 14, "an integer, no big number");
+        assertEquals(bits, Codec.unsignedNumber(Codec.decodeMap(body), "n"));
+        assertTrue(Codec.bool(Codec.decodeMap(body), "after"));
+        assertEquals(number, new Revision(bits).text());
+        assertTrue(bits == 0 || new FencingToken(bits).compareTo(FencingToken.NONE) > 0);
+    }
+
+    @Test
+    void otherNumbersAreNoIntegersOfTheProtocol() throws MalformedMessageException {
+        ObjectNode node = Codec.map()
+                .put("large", new java.math.BigInteger("18446744073709551616"))
+                .put("negative", -1)
+                .put("fraction", 0.5)
+                .put("float", 1e20)
+                .put("text", "7")
+                .put("decimal", 3.0);
+        for (String field : List.of("large", "negative", "fraction", "float", "text", "absent")) {
+            MalformedMessageException e =
+                    assertThrows(MalformedMessageException.class, () -> Codec.unsignedNumber(node, field));
+            assertTrue(e.getMessage().startsWith(field + ": "), e.getMessage());
+        }
+        assertEquals(3, Codec.unsignedNumber(node, "decimal"));
+    }
+
     @Test
     void peersUnderstandOneAnotherAndRefuseRubbish() throws MalformedMessageException {
         PeerCodec codec = new PeerCodec();
