A leader that cannot read the state service's answers gives up the lead

What callers would see: while one node alone can't read answers (another version, something on its way), it leads, extends its lease, and does nothing; no other node can lead.

Cause: an answer that is malformed was treated like none: the leader's key, pages of records and the watch were asked for again without end, while the lease's extension looks at the status only. Evidence: in LargeNumbersTest.aLeaderThatCannotReadItsAnswersGivesUpTheLead the same node still leads 20 s after its answers have become unreadable (fails on the code before: "expected: not equal but was: <0>"; passes now).

A single damaged answer to a watch is still asked again.

--- a/src/main/java/org/beechhoist/controller/leadership/LeaderElection.java
+++ b/src/main/java/org/beechhoist/controller/leadership/LeaderElection.java
@@ -36,6 +36,9 @@
      */
     private static final long MIN_STABLE_TERM_MS = 20_000;
 
+    /** The time for which a node that can't read the state service's answers lets other nodes campaign. */
+    private static final long UNREADABLE_PAUSE_MS = 5000;
+
     private static final int MAX_SHORT_TERMS = 2;
     private static final long MAX_CAMPAIGN_PAUSE_MS = 8000;
     /** A watch returns at least every 4 s, so a leader that the state service reported longer ago is out of date. */
@@ -161,7 +164,10 @@
         requests.takeOrOverdraw(context.now(), 1);
         LeaseId held = lease;
         store.get(LEADER_KEY, read -> {
-            if (!read.answered() || !isLeading || !held.equals(lease)) {
+            if (read.malformed() != null && isLeading && held.equals(lease)) {
+                stepDownUnreadable(LEADER_KEY, read.malformed());
+                then.accept(KeyOwnership.UNKNOWN);
+            } else if (!read.answered() || !isLeading || !held.equals(lease)) {
                 then.accept(KeyOwnership.UNKNOWN);
             } else if (read.item() == null || !read.item().lease().equals(held)) {
                 then.accept(KeyOwnership.LOST);
@@ -352,6 +358,16 @@
         loseLeadership(cause);
     }
 
+    /**
+     * Gives up leadership because this node can't read what a leader needs; it would keep the lease and do nothing.
+     *
+     * @param key the key or prefix that was read
+     * @param problem what is wrong with the answer
+     */
+    public void stepDownUnreadable(String key, String problem) {
+        stepDown("answers about " + key + " can't be read: " + problem, UNREADABLE_PAUSE_MS);
+    }
+
     /** Ends this node's leadership because the key or its lease is lost, or another node is to lead. */
     public void loseLeadership(String cause) {
         if (!isLeading) {
--- a/src/main/java/org/beechhoist/controller/state/StateLoader.java
+++ b/src/main/java/org/beechhoist/controller/state/StateLoader.java
@@ -41,6 +41,9 @@
     /** The leader's own commits are watched too; this pause keeps a busy day from using up the request limit on them. */
     private static final long CHANGE_PAUSE_MS = 40;
 
+    /** A watch that can't be read is repeated so often before this node stops leading. */
+    private static final int MAX_MALFORMED_WATCHES = 3;
+
     private static final int PAGE_SIZE = 200;
     private static final int STATUS_OK = 200;
     private static final int STATUS_GONE = 410;
@@ -81,6 +84,8 @@
     private long loadEpoch;
     /** Changes with each completed load, which begins a new watch, and when a term ends; earlier watches stop. */
     private long watchEpoch;
+    /** The number of consecutive answers to the watch that could not be read. */
+    private int malformedWatches;
 
     /**
      * Creates the loader; nothing is read before {@link #reload}.
@@ -186,6 +191,10 @@
             if (expectedEpoch != loadEpoch) {
                 return;
             }
+            if (page.malformed() != null) {
+                election.stepDownUnreadable(prefix, page.malformed());
+                return;
+            }
             if (!page.isOk()) {
                 retryLater(PAGE_RETRY_INTERVAL_MS);
                 return;
@@ -341,6 +350,11 @@
             if (expectedWatchEpoch != watchEpoch) {
                 return;
             }
+            malformedWatches = changes.malformed() == null ? 0 : malformedWatches + 1;
+            if (malformedWatches > MAX_MALFORMED_WATCHES) {
+                election.stepDownUnreadable(JobRecord.OPEN_PREFIX, changes.malformed());
+                return;
+            }
             if (changes.status() == STATUS_GONE && phase == Phase.ACTIVE) {
                 reload();
             }
--- a/src/test/java/org/beechhoist/sim/LargeNumbersTest.java
+++ b/src/test/java/org/beechhoist/sim/LargeNumbersTest.java
@@ -1,9 +1,13 @@
 package org.beechhoist.sim;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.util.List;
+import org.beechhoist.wire.CallResult;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 
@@ -11,6 +15,8 @@
 class LargeNumbersTest {
     private static final long ARRIVALS_MS = 60_000;
     private static final long DRAIN_MS = 150_000;
+    /** A lease, an election and the first load, with a margin. */
+    private static final long TAKEOVER_MS = 20_000;
 
     private static World world(long seed) {
         World w = new World(seed);
@@ -35,4 +41,36 @@
         assertTrue(w.started > 0 && w.accepted() > 20, w.accepted() + " jobs, " + w.started + " starts");
         assertEquals(List.of(), w.unfinished());
     }
+
+    /** Guards against a leader that keeps its lease, and does nothing, as it cannot read the state service's answers. */
+    @Test
+    void aLeaderThatCannotReadItsAnswersGivesUpTheLead() {
+        World w = world(78);
+        w.runUntil(20_000);
+        int unable = w.leader();
+        w.nodes[unable].damage = new Damage() {
+            @Override
+            public CallResult ofResult(CallResult result) {
+                return w.now < ARRIVALS_MS ? withoutNumbers(result) : result;
+            }
+        };
+        w.runUntil(20_000 + TAKEOVER_MS);
+        assertNotEquals(unable, w.leader());
+        w.runUntil(ARRIVALS_MS + DRAIN_MS);
+        assertEquals(List.of(), w.unfinished());
+    }
+
+    private static CallResult withoutNumbers(CallResult result) {
+        if (result.body() == null
+                || !result.body().has("ledgerRev") && !result.body().has("lastTouch")) {
+            return result;
+        }
+        ObjectNode body = result.body().deepCopy();
+        for (String field : List.of("ledgerRev", "lastTouch")) {
+            if (body.has(field)) {
+                body.put(field, "many");
+            }
+        }
+        return new CallResult(result.kind(), result.status(), body);
+    }
 }
