Commands to a worker and their token are one typed message

The response to a heartbeat and the body of POST /orders were put together in two places as bare maps.

--- a/src/main/java/org/beechhoist/controller/worker/CommandDispatcher.java
+++ b/src/main/java/org/beechhoist/controller/worker/CommandDispatcher.java
@@ -1,8 +1,5 @@
 package org.beechhoist.controller.worker;
 
-import static org.beechhoist.wire.ProtocolFields.EPOCH;
-import static org.beechhoist.wire.ProtocolFields.FENCING_TOKEN;
-
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.util.ArrayList;
 import java.util.List;
@@ -19,7 +16,7 @@
 import org.beechhoist.controller.state.StateLoader;
 import org.beechhoist.store.Placement;
 import org.beechhoist.wire.CallResult;
-import org.beechhoist.wire.Codec;
+import org.beechhoist.wire.CommandMessage;
 import org.beechhoist.wire.FencingToken;
 import org.beechhoist.wire.Heartbeat;
 import org.beechhoist.wire.MalformedMessageException;
@@ -276,9 +273,7 @@
                 Long.toUnsignedString(sent.epoch),
                 commands.size(),
                 attempts(launches));
-        ObjectNode body = Codec.putUnsigned(Codec.map(), FENCING_TOKEN, sent.token.value());
-        Codec.putUnsigned(body, EPOCH, sent.epoch);
-        body.set("orders", WorkerCommand.toNode(commands));
+        ObjectNode body = new CommandMessage(sent.token, commands).toRequest(sent.epoch);
         machine.commandsInFlight++;
         long term = clusterState.term();
         context.callBefore(
--- a/src/main/java/org/beechhoist/controller/worker/HeartbeatHandler.java
+++ b/src/main/java/org/beechhoist/controller/worker/HeartbeatHandler.java
@@ -1,7 +1,5 @@
 package org.beechhoist.controller.worker;
 
-import static org.beechhoist.wire.ProtocolFields.FENCING_TOKEN;
-
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.util.ArrayList;
 import java.util.List;
@@ -17,7 +15,7 @@
 import org.beechhoist.controller.state.MachineReachability;
 import org.beechhoist.controller.state.StateLoader;
 import org.beechhoist.store.Placement;
-import org.beechhoist.wire.Codec;
+import org.beechhoist.wire.CommandMessage;
 import org.beechhoist.wire.Heartbeat;
 import org.beechhoist.wire.MonotonicTime;
 import org.beechhoist.wire.WorkerCommand;
@@ -185,9 +183,7 @@
     /** Responds with the commands and renews the worker's lease. */
     private void answer(long request, Machine machine, List<WorkerCommand> commands) {
         machine.lastAnsweredAt = context.now();
-        ObjectNode body = Codec.putUnsigned(
-                Codec.map(), FENCING_TOKEN, election.fencingToken().value());
-        body.set("orders", WorkerCommand.toNode(commands));
+        ObjectNode body = new CommandMessage(election.fencingToken(), commands).toResponse();
         MonotonicTime until = cancellations.leasesRenewableUntil();
         context.respond(
                 request, 200, body, until.isBefore(election.leaseValidUntil()) ? until : election.leaseValidUntil());
