--- a/src/test/java/org/beechhoist/sim/LargeNumbersTest.java
+++ b/src/test/java/org/beechhoist/sim/LargeNumbersTest.java
@@ -4,9 +4,7 @@
 import static org.junit.jupiter.api.Assertions.assertNotEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.util.List;
-import org.beechhoist.wire.CallResult;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
@@ -48,29 +46,10 @@
         World w = world(78);
         w.runUntil(20_000);
         int unable = w.leader();
-        w.nodes[unable].damage = new Damage() {
-            @Override
-            public CallResult ofResult(CallResult result) {
-                return w.now < ARRIVALS_MS ? withoutNumbers(result) : result;
-            }
-        };
+        w.makeAnswersUnreadable(unable, ARRIVALS_MS - w.now);
         w.runUntil(20_000 + TAKEOVER_MS);
         assertNotEquals(unable, w.leader());
         w.runUntil(ARRIVALS_MS + DRAIN_MS);
         assertEquals(List.of(), w.unfinished());
     }
-
-    private static CallResult withoutNumbers(CallResult result) {
-        if (result.body() == null
-                || !result.body().has("ledgerRev") && !result.body().has("lastTouch")) {
-            return result;
-        }
-        ObjectNode body = result.body().deepCopy();
-        for (String field : List.of("ledgerRev", "lastTouch")) {
-            if (body.has(field)) {
-                body.put(field, "many");
-            }
-        }
-        return new CallResult(result.kind(), result.status(), body);
-    }
 }
--- a/src/test/java/org/beechhoist/sim/SimulationTest.java
+++ b/src/test/java/org/beechhoist/sim/SimulationTest.java
@@ -32,6 +32,7 @@
         BURST,
         MACHINES_BACK_AT_ONCE,
         LARGE_NUMBERS,
+        UNREADABLE_ANSWERS,
         EVERYTHING
     }
 
@@ -356,6 +357,7 @@
                 w.restartMachine();
                 w.later(1500, w::restartMachine);
             }
+            case UNREADABLE_ANSWERS -> w.makeAnswersUnreadable(w.random.nextInt(3), 15_000);
             case CLOUD_OUTAGE -> w.cloudOutage(15_000);
             case PEERS_CUT -> {
                 w.cutPeers(15_000);
--- a/src/test/java/org/beechhoist/sim/World.java
+++ b/src/test/java/org/beechhoist/sim/World.java
@@ -1252,6 +1252,12 @@
         nodes[node].stateCutUntil = now + forMs;
     }
 
+    /** The node can't read what the state service answers. */
+    void makeAnswersUnreadable(int node, long forMs) {
+        trouble(forMs);
+        nodes[node].damage = new UnreadableAnswers(this, now + forMs);
+    }
+
     void freeze(int node, long forMs) {
         trouble(forMs);
         nodes[node].freeze(forMs);
