KeySetTrial counts a set as overwritten once it is

It is the trial's own: it writes over a set's record, and counts the set as stopped from then on, but during an outage the state service refuses the write (503), and World.write dropped the answer. So the check is wrong, not the program.

Now the write is repeated every 0.5 s until the state service takes it, and the set counts as stopped from that moment.

--- a/src/test/java/org/beechhoist/sim/KeySetTrial.java
+++ b/src/test/java/org/beechhoist/sim/KeySetTrial.java
@@ -22,6 +22,7 @@
  */
 @Tag("trial")
 class KeySetTrial {
+    private static final long WRITE_AGAIN_MS = 500;
     private static final int SETS = 40;
     private static final long ENDS_MS = 240_000;
 
@@ -99,8 +100,7 @@
                     ((ObjectNode) other.path("versions").get(0))
                             .putArray("fingerprints")
                             .add("99:99:99:99:" + w.now);
-                    w.write("ks/set/" + s.name(), other);
-                    r.stop(s.name(), s.versions().get(0).version());
+                    writeOver(w, r, s, other);
                 }
                 case 2, 3, 4 -> {
                     did[2]++;
@@ -185,4 +185,13 @@
         assertEquals(0, r.pinsChanged);
         assertEquals(0, needless, "jobs that could run and did not: " + w.unfinished());
     }
+
+    /** Writes something else in the set's place, again and again until the state service takes it; the set counts as stopped from then on. */
+    private static void writeOver(World w, KeySetRules r, KeySet set, ObjectNode other) {
+        if (w.write("ks/set/" + set.name(), other)) {
+            r.stop(set.name(), set.versions().get(0).version());
+        } else {
+            w.later(WRITE_AGAIN_MS, () -> writeOver(w, r, set, other));
+        }
+    }
 }
--- a/src/test/java/org/beechhoist/sim/World.java
+++ b/src/test/java/org/beechhoist/sim/World.java
@@ -1318,12 +1318,14 @@
         return m == null || m.gone ? List.of() : m.worker.onMachine(now);
     }
 
-    /** What somebody else writes to the state service. */
-    void write(String key, JsonNode value) {
+    /** What somebody else writes to the state service; returns whether it was written, which an outage prevents. */
+    boolean write(String key, JsonNode value) {
         ObjectNode txn = Codec.map();
         txn.putArray("guards");
         ((ObjectNode) txn.putArray("then").addObject().put("put", key)).set("data", value);
-        state.handle(now, "POST", "/commit", txn, r -> {});
+        boolean[] written = new boolean[1];
+        state.handle(now, "POST", "/commit", txn, r -> written[0] = r.status() == 200);
+        return written[0];
     }
 
     JsonNode read(String key) {
